--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,495 @@
+// Package controller is the leader's picture of jobs, tasks and machines and
+// all decisions about them. It does no I/O and reads no clock: time, requests,
+// reports and outcomes are passed in, and what has to be written, rented or
+// sent comes out. Callers serialise access.
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/provision"
+	"switchshore.example/switchshore/internal/ranges"
+	"switchshore.example/switchshore/internal/sched"
+	"switchshore.example/switchshore/internal/tuning"
+	"switchshore.example/switchshore/wire"
+)
+
+// Controller is one term's picture.
+type Controller struct {
+	log      zerolog.Logger
+	params   config.Params
+	operator config.Operator
+	term     uint64
+	launches uint64
+	rentals  uint64
+
+	// heirloom is when every task that a predecessor may have left on a
+	// machine unheard in this term is gone.
+	heirloom time.Time
+	started  time.Time
+
+	jobs     map[string]*job
+	finals   map[string]final // ended jobs, for good
+	active   int              // unfinished tasks, for the memory bound
+	teams    map[string]*team
+	machines map[string]*machine
+	released map[string]bool // names never to be taken in again
+	types    map[string]wire.MachineType
+	offers   []wire.MachineType
+
+	writes   writeQueue
+	dirty    map[*job]time.Time // jobs with unwritten completions, since when
+	ratio    map[string]float64 // run time over estimate, by class
+	refused  map[provision.Offer]time.Time
+	renting  map[string]*rental
+	listedAt time.Time
+	lists    uint64
+	nextPlan time.Time
+	lastPass time.Time
+	changed  bool
+	reserve  float64
+	reserved time.Time
+}
+
+type team struct {
+	config.Team
+	used sched.Resources // of all tasks that may be on a machine
+}
+
+// New returns an empty picture for a term won at now. grace is how long a
+// leader without the state service goes on answering reports.
+func New(log zerolog.Logger, p config.Params, o config.Operator, term uint64, now time.Time, grace time.Duration) *Controller {
+	c := &Controller{
+		log:      log,
+		params:   p,
+		operator: o,
+		term:     term,
+		started:  now,
+		jobs:     map[string]*job{},
+		finals:   map[string]final{},
+		teams:    map[string]*team{},
+		machines: map[string]*machine{},
+		released: map[string]bool{},
+		types:    map[string]wire.MachineType{},
+		dirty:    map[*job]time.Time{},
+		ratio:    map[string]float64{},
+		refused:  map[provision.Offer]time.Time{},
+		renting:  map[string]*rental{},
+	}
+	for _, t := range p.Teams {
+		c.teams[t.Name] = &team{Team: t}
+	}
+	// A predecessor's last answer comes at the latest a grace after its
+	// authority, which ended before now; the worker's lease runs from the
+	// sending of the report answered.
+	c.heirloom = now.Add(grace + c.leaseTime())
+	return c
+}
+
+// Grace is how long a leader without the state service goes on answering
+// reports: as long as possible, with a worker's lease on top still within
+// the time for cancellations.
+func Grace(w config.Workers) time.Duration {
+	return max(0, min(seconds(w.LeaseS), seconds(w.CancelS-w.LeaseS)-tuning.GraceReserve))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// leaseTime is the time after which a worker's lease has provably run out.
+func (c *Controller) leaseTime() time.Duration {
+	return seconds(c.params.Workers.LeaseS*(1+tuning.ClockDrift)) + tuning.ExpiryMargin
+}
+
+// Term is the term of this picture.
+func (c *Controller) Term() uint64 { return c.term }
+
+// Ready reports whether submissions can be decided: the machine types are known.
+func (c *Controller) Ready() bool { return len(c.types) > 0 }
+
+func (c *Controller) nextLaunch() uint64 {
+	c.launches++
+	return c.term<<32 | c.launches
+}
+
+// Jobs.
+
+const (
+	finalDone      = 'd'
+	finalCancelled = 'c'
+)
+
+// final is the end of a job, stored as "d14" or "c3": how, and how many of
+// its tasks were done.
+type final struct {
+	how  byte
+	done int32
+}
+
+func (f final) value() json.RawMessage {
+	return json.RawMessage(`"` + string(f.how) + strconv.Itoa(int(f.done)) + `"`)
+}
+
+func parseFinal(value json.RawMessage) (final, error) {
+	var text string
+	if err := json.Unmarshal(value, &text); err != nil {
+		return final{}, err
+	}
+	if text == "" || text[0] != finalDone && text[0] != finalCancelled {
+		return final{}, fmt.Errorf("final state %q", text)
+	}
+	n, err := strconv.ParseInt(text[1:], 10, 32)
+	return final{text[0], int32(n)}, err
+}
+
+type jobState int
+
+const (
+	jobAccepting jobState = iota // not durable yet
+	jobActive
+	jobCancelled // its record stays until no task may be on a machine
+	jobDone
+)
+
+type job struct {
+	wire.Job
+	at      int64 // submission, time of day in milliseconds
+	since   time.Time
+	level   int
+	state   jobState
+	ended   bool // the final state is durable
+	done    *ranges.Set
+	durable *ranges.Set // completions known to be stored
+	ready   []int32     // tasks to be placed, last first
+	holders map[int32]int8
+	held    int // tasks that may be on a machine
+	running int
+	inZone  map[string]int
+	need    sched.Resources
+
+	failures int
+	notUntil time.Time
+	waiting  []func(ok bool) // told when the acceptance is durable
+	chunks   map[int]bool    // done-set chunks to be written
+}
+
+// jobRecord is the stored form of a job.
+type jobRecord struct {
+	Job wire.Job `json:"job"`
+	At  int64    `json:"at"`
+}
+
+func keyJob(id string) string     { return "j/" + id }
+func keyFinal(id string) string   { return "f/" + id }
+func keyMachine(id string) string { return "m/" + id }
+
+func newJob(spec wire.Job, at int64, since time.Time) *job {
+	j := &job{
+		Job:     spec,
+		at:      at,
+		since:   since,
+		level:   wire.Level(spec.Priority),
+		done:    ranges.New(spec.Tasks),
+		holders: map[int32]int8{},
+		inZone:  map[string]int{},
+		chunks:  map[int]bool{},
+		need:    sched.Resources{CPUs: spec.CPUs, GPUs: spec.GPUs, MemoryGB: spec.MemoryGB},
+	}
+	return j
+}
+
+// fillReady queues every task that is neither done nor maybe on a machine.
+func (j *job) fillReady() {
+	j.ready = j.ready[:0]
+	for i := j.Tasks - 1; i >= 0; i-- {
+		if !j.done.Has(i) && j.holders[int32(i)] == 0 {
+			j.ready = append(j.ready, int32(i))
+		}
+	}
+}
+
+// Verdict is the outcome of a request: a status for the user and, if Wait is
+// set, the need to wait for the state service first.
+type Verdict struct {
+	Status int
+	State  string
+	Done   int
+	Run    int
+	Why    string
+}
+
+func (c *Controller) verdict(id string) (Verdict, bool) {
+	if f, ok := c.finals[id]; ok {
+		state := wire.JobDone
+		if f.how == finalCancelled {
+			state = wire.JobCancelled
+		}
+		return Verdict{Status: 200, State: state, Done: int(f.done)}, true
+	}
+	j := c.jobs[id]
+	if j == nil {
+		return Verdict{Status: 404}, false
+	}
+	v := Verdict{Status: 200, State: wire.JobQueued, Done: j.done.Len(), Run: j.running}
+	if j.running > 0 {
+		v.State = wire.JobRunning
+	}
+	return v, true
+}
+
+// Submit takes a checked submission. It either answers at once or calls then
+// later, when the job is durable or the term is over.
+func (c *Controller) Submit(now time.Time, wall time.Time, spec *wire.Job, then func(Verdict)) {
+	if j := c.jobs[spec.ID]; j != nil && j.state == jobAccepting {
+		j.waiting = append(j.waiting, func(ok bool) { then(c.accepted(ok, spec.ID, 200)) })
+		return
+	}
+	if v, known := c.verdict(spec.ID); known {
+		then(v)
+		return
+	}
+	if !c.Ready() {
+		then(Verdict{Status: 503, Why: "machine types not known yet"})
+		return
+	}
+	if why := c.impossible(spec); why != "" {
+		then(Verdict{Status: 422, Why: why})
+		return
+	}
+	if c.active+spec.Tasks > tuning.ActiveTasks || c.writes.len() > tuning.PendingWrites {
+		then(Verdict{Status: 429, Why: "too much work queued"})
+		return
+	}
+	j := newJob(*spec, wall.UnixMilli(), now)
+	record, err := json.Marshal(jobRecord{Job: j.Job, At: j.at})
+	if err != nil || float64(len(record)) > c.params.State.ValueKB*1024 {
+		then(Verdict{Status: 400, Why: "job description too large"})
+		return
+	}
+	c.jobs[j.ID] = j
+	c.active += j.Tasks
+	j.waiting = append(j.waiting, func(ok bool) { then(c.accepted(ok, j.ID, 201)) })
+	c.writes.put(keyJob(j.ID), record, func() {
+		if j.state == jobAccepting {
+			j.state = jobActive
+			j.fillReady()
+			c.changed = true
+		}
+		if j.state == jobActive {
+			for _, f := range j.waiting {
+				f(true)
+			}
+			j.waiting = nil
+		}
+	})
+}
+
+func (c *Controller) accepted(ok bool, id string, status int) Verdict {
+	if !ok {
+		return Verdict{Status: 503, Why: "the term ended"}
+	}
+	v, _ := c.verdict(id)
+	v.Status = status
+	return v
+}
+
+// impossible says why a job can never run, or "".
+func (c *Controller) impossible(spec *wire.Job) string {
+	t := c.teams[spec.Team]
+	if t == nil {
+		return "unknown team"
+	}
+	need := sched.Resources{CPUs: spec.CPUs, GPUs: spec.GPUs}
+	if !(sched.Resources{CPUs: t.CPUsMax, GPUs: t.GPUsMax}).Fits(need) {
+		return "a task needs more than the team's limit"
+	}
+	need.MemoryGB = spec.MemoryGB
+	probe := sched.Ready{Types: spec.Types, Zone: spec.Zone, Spot: true, Need: need, Total: spec.Tasks}
+	for _, mt := range c.types {
+		for _, zone := range mt.Zones {
+			if probe.Allowed(&sched.Machine{Type: mt.Name, Zone: zone, Total: resources(mt)}) {
+				return ""
+			}
+		}
+	}
+	return "a task fits no allowed machine type"
+}
+
+func resources(t wire.MachineType) sched.Resources {
+	return sched.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
+}
+
+// Query tells a job's state. A job whose acceptance is not durable gets 503:
+// whether it exists is not decided.
+func (c *Controller) Query(id string) Verdict {
+	if j := c.jobs[id]; j != nil && j.state == jobAccepting {
+		return Verdict{Status: 503, Why: "being accepted"}
+	}
+	v, _ := c.verdict(id)
+	return v
+}
+
+// Cancel cancels a job. It answers at once or calls then when it is durable.
+func (c *Controller) Cancel(now time.Time, id string, then func(Verdict)) {
+	if _, ended := c.finals[id]; ended {
+		v, _ := c.verdict(id)
+		then(v)
+		return
+	}
+	j := c.jobs[id]
+	switch {
+	case j == nil:
+		then(Verdict{Status: 404})
+	case j.state == jobDone, j.state == jobCancelled:
+		// Decided, and on its way to the state service.
+		j.waiting = append(j.waiting, func(ok bool) { then(c.accepted(ok, id, 200)) })
+	default:
+		// A submission still waiting hears of its acceptance, as that is
+		// written first, or of the end.
+		j.waiting = append(j.waiting, func(ok bool) { then(c.accepted(ok, id, 200)) })
+		j.state = jobCancelled
+		j.ready = nil
+		delete(c.dirty, j)
+		c.end(j, finalCancelled)
+		c.stopAll(j)
+	}
+}
+
+// end writes a job's final state; only then is it told to anyone.
+func (c *Controller) end(j *job, how byte) {
+	f := final{how, int32(j.done.Len())}
+	c.writes.put(keyFinal(j.ID), f.value(), func() {
+		c.finals[j.ID] = f
+		c.active -= j.Tasks
+		j.ended = true
+		for _, f := range j.waiting {
+			f(true)
+		}
+		j.waiting = nil
+		c.tidy(j)
+	})
+}
+
+// tidy drops the record of an ended job once none of its tasks may be on a
+// machine: until then its team, zone and size are needed for the counts.
+func (c *Controller) tidy(j *job) {
+	if !j.ended || j.held > 0 || c.jobs[j.ID] != j {
+		return
+	}
+	delete(c.jobs, j.ID)
+	delete(c.dirty, j)
+	c.writes.del(keyJob(j.ID))
+	for k := 0; k*tuning.DoneChunk < j.Tasks; k++ {
+		if j.done.Format(k*tuning.DoneChunk, (k+1)*tuning.DoneChunk) != "" {
+			c.writes.del(keyDone(j.ID, k))
+		}
+	}
+}
+
+// taskDone notes a completion; it is written soon and told only afterwards.
+func (c *Controller) taskDone(now time.Time, j *job, index int32) {
+	if !j.done.Add(int(index)) {
+		return
+	}
+	c.changed = true
+	if j.state != jobActive {
+		return
+	}
+	if j.done.Full() {
+		j.state = jobDone
+		j.ready = nil
+		delete(c.dirty, j)
+		c.end(j, finalDone)
+		c.stopAll(j)
+		return
+	}
+	j.chunks[int(index)/tuning.DoneChunk] = true
+	if _, ok := c.dirty[j]; !ok {
+		c.dirty[j] = now
+	}
+}
+
+// flushDone queues the writes of completions that have waited long enough.
+func (c *Controller) flushDone(now time.Time) {
+	for j, since := range c.dirty {
+		if now.Sub(since) < tuning.DoneFlush {
+			continue
+		}
+		delete(c.dirty, j)
+		ks := make([]int, 0, len(j.chunks))
+		for k := range j.chunks {
+			ks = append(ks, k)
+		}
+		sort.Ints(ks)
+		for _, k := range ks {
+			text := j.done.Format(k*tuning.DoneChunk, (k+1)*tuning.DoneChunk)
+			value, _ := json.Marshal(text)
+			covered := text
+			c.writes.put(keyDone(j.ID, k), value, func() { c.durable(j, covered) })
+		}
+		clear(j.chunks)
+	}
+}
+
+// durable marks attempts whose completion is stored: they may be forgotten.
+func (c *Controller) durable(j *job, covered string) {
+	_ = ranges.Each(covered, j.Tasks, func(i int) {
+		if j.durable == nil {
+			j.durable = ranges.New(j.Tasks)
+		}
+		j.durable.Add(i)
+	})
+}
+
+// isDurable reports whether the completion of a task is stored.
+func (j *job) isDurable(index int32) bool {
+	return j.ended || j.durable != nil && j.durable.Has(int(index))
+}
+
+// unhold counts one holder of a task less, and queues the task again if
+// none is left.
+func (c *Controller) unhold(j *job, index int32) {
+	j.holders[index]--
+	if j.holders[index] > 0 {
+		return
+	}
+	delete(j.holders, index)
+	j.held--
+	if j.state == jobActive && !j.done.Has(int(index)) {
+		j.ready = append(j.ready, index)
+	}
+	c.changed = true
+	c.tidy(j)
+}
+
+// failed makes a job with failing tasks back off.
+func (c *Controller) failed(now time.Time, j *job) {
+	j.failures++
+	d := tuning.RetryMin << min(j.failures-1, 10)
+	if d > tuning.RetryMax {
+		d = tuning.RetryMax
+	}
+	j.notUntil = now.Add(d)
+}
+
+func (c *Controller) backOff(j *job, until time.Time) {
+	if until.After(j.notUntil) {
+		j.notUntil = until
+	}
+}
+
+// Stop ends the term: everyone waiting is told that nothing is decided.
+func (c *Controller) Stop() {
+	for _, j := range c.jobs {
+		for _, f := range j.waiting {
+			f(false)
+		}
+		j.waiting = nil
+	}
+}
--- /dev/null
+++ b/internal/controller/load.go
@@ -0,0 +1,139 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"switchshore.example/switchshore/internal/ranges"
+	"switchshore.example/switchshore/wire"
+)
+
+// Prefixes of the stored records, in the order in which they must be loaded:
+// jobs, their completions, the final states, then the machines.
+var Prefixes = []string{"j/", "d/", "f/", "m/"}
+
+// Load takes in one stored record; wall and now relate the time of day in
+// the records to the steady clock.
+func (c *Controller) Load(now, wall time.Time, item wire.Item) error {
+	kind, id, ok := strings.Cut(item.Key, "/")
+	if !ok {
+		return nil
+	}
+	err := c.load(now, wall, kind, id, item.Value)
+	if err != nil {
+		return fmt.Errorf("record %s: %w", item.Key, err)
+	}
+	return nil
+}
+
+func (c *Controller) load(now, wall time.Time, kind, id string, value json.RawMessage) error {
+	switch kind {
+	case "j":
+		var rec jobRecord
+		if err := json.Unmarshal(value, &rec); err != nil {
+			return err
+		}
+		age := max(0, wall.Sub(time.UnixMilli(rec.At)))
+		j := newJob(rec.Job, rec.At, now.Add(-age))
+		j.state = jobActive
+		c.jobs[id] = j
+		c.active += j.Tasks
+	case "d":
+		var text string
+		if err := json.Unmarshal(value, &text); err != nil {
+			return err
+		}
+		id, _, _ := strings.Cut(id, "/")
+		j := c.jobs[id]
+		if j == nil {
+			return nil
+		}
+		if j.durable == nil {
+			j.durable = ranges.New(j.Tasks)
+		}
+		return ranges.Each(text, j.Tasks, func(i int) {
+			j.done.Add(i)
+			j.durable.Add(i)
+		})
+	case "f":
+		f, err := parseFinal(value)
+		if err != nil {
+			return err
+		}
+		c.finals[id] = f
+		if j := c.jobs[id]; j != nil {
+			j.ended = true
+			j.state = jobCancelled
+			if f.how == finalDone {
+				j.state = jobDone
+			}
+			c.active -= j.Tasks
+		}
+	case "m":
+		var rec machineRecord
+		if err := json.Unmarshal(value, &rec); err != nil {
+			return err
+		}
+		m := c.addMachine(now, id, rec.Type, rec.Zone, rec.Addr, rec.Spot)
+		m.recorded = true
+		m.up = true
+		for _, image := range rec.Images {
+			m.images[image] = now
+		}
+		for job, text := range rec.Tasks {
+			j := c.jobs[job]
+			if j == nil {
+				continue
+			}
+			err := ranges.Each(text, j.Tasks, func(i int) {
+				// A stored completion proves that the task has exited and is
+				// not started again.
+				if !j.done.Has(i) {
+					c.hold(m, taskKey{j, int32(i)}, &attempt{state: maybe, orderedAt: now})
+				}
+			})
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Loaded ends the loading: tasks that no machine may hold can be placed.
+func (c *Controller) Loaded(now time.Time) {
+	for _, j := range c.sortedJobs() {
+		if j.state == jobActive {
+			j.fillReady()
+		}
+		if j.state == jobActive && j.done.Full() {
+			j.state = jobDone
+			c.end(j, finalDone)
+		}
+		c.tidy(j)
+	}
+	c.changed = true
+	c.log.Info().Int("jobs", len(c.jobs)).Int("ended", len(c.finals)).Int("machines", len(c.machines)).Msg("loaded")
+}
+
+// Counts sums the picture up for logs.
+type Counts struct {
+	Jobs, Ready, Held, Machines, Up, Writes int
+}
+
+// Counts returns the sums.
+func (c *Controller) Counts() Counts {
+	n := Counts{Jobs: len(c.jobs), Machines: len(c.machines), Writes: c.writes.len()}
+	for _, j := range c.jobs {
+		n.Ready += len(j.ready)
+		n.Held += j.held
+	}
+	for _, m := range c.machines {
+		if m.up && !m.releasing {
+			n.Up++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/controller/machines.go
@@ -0,0 +1,532 @@
+package controller
+
+import (
+	"encoding/json"
+	"slices"
+	"sort"
+	"time"
+
+	"switchshore.example/switchshore/internal/provision"
+	"switchshore.example/switchshore/internal/ranges"
+	"switchshore.example/switchshore/internal/sched"
+	"switchshore.example/switchshore/internal/tuning"
+	"switchshore.example/switchshore/wire"
+)
+
+type machine struct {
+	id, typ, zone, addr string
+	spot                bool
+	total               sched.Resources
+	rentedAt            time.Time
+	up                  bool // has reported to some term
+	confirmed           bool // has reported knowing this term: its list is complete
+	releasing           bool
+	draining            bool
+
+	session, seq uint64
+	// lostSession is the last session known to be over; what is still heard
+	// of it is old.
+	lostSession uint64
+	heardAt     time.Time // newest report taken in
+	answeredAt  time.Time // newest report answered 200
+	noticeEnds  time.Time // zero: no notice
+	fullUntil   time.Time
+
+	attempts map[taskKey]*attempt
+	exited   map[exitKey]bool // value: may be forgotten
+	orphans  []exitKey        // tasks that nobody wants, to be stopped
+	images   map[string]time.Time
+	avoid    map[string]bool
+	failing  map[string]bool
+	free     sched.Resources
+	idleFrom time.Time
+	recorded bool // a record is or will be in the state service
+	missing  int  // lists in a row without the machine
+	listed   bool
+	failed   bool
+}
+
+type taskKey struct {
+	job   *job
+	index int32
+}
+
+type exitKey struct {
+	task    string
+	attempt uint64
+}
+
+type attemptState int
+
+const (
+	// maybe: a predecessor recorded that the task may have been started here.
+	maybe attemptState = iota
+	// recording: the record is on its way to the state service.
+	recording
+	// ordered: the start goes out in every answer until a report shows it.
+	ordered
+	fetching
+	running
+	saving
+)
+
+type attempt struct {
+	launch    uint64
+	state     attemptState
+	stop      bool // to be stopped
+	grace     float64
+	stopSent  bool
+	sentSeq   uint64 // report in whose answer the start went out last, 0 if none
+	orderedAt time.Time
+	runningAt time.Time
+}
+
+type rental struct {
+	offer provision.Offer
+	count int
+	at    time.Time
+}
+
+// machineRecord is the stored form of a machine with the tasks it may hold.
+type machineRecord struct {
+	Type   string            `json:"type"`
+	Zone   string            `json:"zone"`
+	Spot   bool              `json:"spot"`
+	Addr   string            `json:"addr"`
+	Images []string          `json:"images,omitempty"`
+	Tasks  map[string]string `json:"tasks,omitempty"`
+}
+
+func (c *Controller) addMachine(now time.Time, id, typ, zone, addr string, spot bool) *machine {
+	m := &machine{
+		id: id, typ: typ, zone: zone, addr: addr, spot: spot,
+		rentedAt: now, idleFrom: now,
+		attempts: map[taskKey]*attempt{},
+		exited:   map[exitKey]bool{},
+		images:   map[string]time.Time{},
+		avoid:    map[string]bool{},
+		failing:  map[string]bool{},
+	}
+	c.machines[id] = m
+	c.size(m)
+	return m
+}
+
+// size fills in the amounts of the machine's type once it is known.
+func (c *Controller) size(m *machine) {
+	if t, ok := c.types[m.typ]; ok && m.total == (sched.Resources{}) {
+		m.total = resources(t)
+		m.free = m.free.Add(m.total, 1)
+	}
+}
+
+// SetTypes takes in the cloud's catalogue.
+func (c *Controller) SetTypes(types []wire.MachineType) {
+	if len(types) == 0 {
+		return
+	}
+	c.offers = types
+	for _, t := range types {
+		c.types[t.Name] = t
+	}
+	for _, m := range c.machines {
+		c.size(m)
+	}
+	c.changed = true
+}
+
+// hold counts a task that may be on a machine.
+func (c *Controller) hold(m *machine, k taskKey, a *attempt) {
+	m.attempts[k] = a
+	m.free = m.free.Add(k.job.need, -1)
+	if t := c.teams[k.job.Team]; t != nil {
+		t.used = t.used.Add(k.job.need, 1)
+	}
+	k.job.inZone[m.zone]++
+	if k.job.holders[k.index]++; k.job.holders[k.index] == 1 {
+		k.job.held++
+	}
+}
+
+// drop counts a task that certainly is no longer on the machine.
+func (c *Controller) drop(now time.Time, m *machine, k taskKey) {
+	a := m.attempts[k]
+	if a == nil {
+		return
+	}
+	delete(m.attempts, k)
+	m.free = m.free.Add(k.job.need, 1)
+	if t := c.teams[k.job.Team]; t != nil {
+		t.used = t.used.Add(k.job.need, -1)
+	}
+	if k.job.inZone[m.zone]--; k.job.inZone[m.zone] == 0 {
+		delete(k.job.inZone, m.zone)
+	}
+	if a.state == running || a.state == saving {
+		k.job.running--
+	}
+	if len(m.attempts) == 0 {
+		m.idleFrom = now
+	}
+	c.unhold(k.job, k.index)
+}
+
+// dropAll drops every task of a machine whose session is over.
+func (c *Controller) dropAll(now time.Time, m *machine) {
+	for _, k := range sortedTasks(m) {
+		c.drop(now, m, k)
+	}
+	clear(m.exited)
+}
+
+// sortedTasks makes runs repeatable: map order must not decide anything.
+func sortedTasks(m *machine) []taskKey {
+	keys := make([]taskKey, 0, len(m.attempts))
+	for k := range m.attempts {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		if keys[i].job.ID != keys[j].job.ID {
+			return keys[i].job.ID < keys[j].job.ID
+		}
+		return keys[i].index < keys[j].index
+	})
+	return keys
+}
+
+func (c *Controller) sortedMachines() []*machine {
+	ms := make([]*machine, 0, len(c.machines))
+	for _, m := range c.machines {
+		ms = append(ms, m)
+	}
+	sort.Slice(ms, func(i, j int) bool { return ms[i].id < ms[j].id })
+	return ms
+}
+
+func (c *Controller) sortedJobs() []*job {
+	js := make([]*job, 0, len(c.jobs))
+	for _, j := range c.jobs {
+		js = append(js, j)
+	}
+	sort.Slice(js, func(i, k int) bool { return js[i].ID < js[k].ID })
+	return js
+}
+
+// stopAll asks for the end of all tasks of an ended job.
+func (c *Controller) stopAll(j *job) {
+	if j.held == 0 {
+		return
+	}
+	for _, m := range c.machines {
+		for k, a := range m.attempts {
+			if k.job == j {
+				a.stop, a.grace = true, 0
+			}
+		}
+	}
+}
+
+// record queues the machine's record with all tasks it may hold.
+func (c *Controller) record(m *machine, then func()) {
+	rec := machineRecord{Type: m.typ, Zone: m.zone, Spot: m.spot, Addr: m.addr, Tasks: map[string]string{}}
+	lists := map[string][]int{}
+	for k := range m.attempts {
+		lists[k.job.ID] = append(lists[k.job.ID], int(k.index))
+	}
+	for id, list := range lists {
+		sort.Ints(list)
+		rec.Tasks[id] = ranges.FormatList(list)
+	}
+	for image := range m.images {
+		rec.Images = append(rec.Images, image)
+	}
+	sort.Strings(rec.Images)
+	value, _ := json.Marshal(rec)
+	m.recorded = true
+	c.writes.put(keyMachine(m.id), value, then)
+}
+
+// Report takes in a worker's report and answers it. With authority false
+// (the state service is out of reach) nothing is started.
+func (c *Controller) Report(now time.Time, r *wire.Report, authority bool) (wire.ReportAnswer, bool) {
+	answer := wire.ReportAnswer{Token: c.term, Commands: []wire.Command{}}
+	if r.Token > c.term {
+		return answer, false
+	}
+	if c.released[r.Machine] {
+		return answer, true
+	}
+	m := c.machines[r.Machine]
+	if m == nil {
+		m = c.addMachine(now, r.Machine, r.Type, r.Zone, r.Addr, r.Spot)
+	}
+	if r.Session <= m.lostSession || r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
+		// Old or repeated: it proves nothing and gets no commands.
+		return answer, true
+	}
+	if r.Session > m.session && m.confirmed {
+		c.dropAll(now, m)
+	}
+	m.session, m.seq = r.Session, r.Seq
+	m.heardAt, m.answeredAt = now, now
+	m.addr = r.Addr
+	if !m.up {
+		m.up = true
+		c.changed = true
+	}
+	if m.noticeEnds.IsZero() && r.NoticeS != nil {
+		m.noticeEnds = now.Add(seconds(*r.NoticeS))
+		c.log.Debug().Str("machine", m.id).Float64("notice", *r.NoticeS).Msg("spot notice")
+	}
+	if r.Token < c.term {
+		// The worker may still take orders of an earlier term: only a report
+		// sent after it has seen this term shows all that it holds.
+		return answer, true
+	}
+	c.take(now, m, r)
+	c.notice(now, m)
+	c.commands(now, m, r.Seq, authority, &answer)
+	return answer, true
+}
+
+// take compares the machine's complete list with what is known.
+func (c *Controller) take(now time.Time, m *machine, r *wire.Report) {
+	seen := make(map[taskKey]bool, len(r.Tasks))
+	exited := make(map[exitKey]bool, len(r.Tasks))
+	var orphans []exitKey
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		id, index, ok := wire.SplitTask(t.Task)
+		j := c.jobs[id]
+		ek := exitKey{t.Task, t.Attempt}
+		if !ok || j == nil || index >= j.Tasks {
+			// A task that nobody wants: of a job that ended, or unknown.
+			if t.State == wire.TaskExited {
+				exited[ek] = true
+			} else {
+				orphans = append(orphans, ek)
+			}
+			continue
+		}
+		k := taskKey{j, int32(index)}
+		a := m.attempts[k]
+		if t.State == wire.TaskExited {
+			if a != nil && (a.launch == t.Attempt || a.state == maybe) {
+				seen[k] = true
+				c.exit(now, m, k, a, t)
+			} else if t.Why == wire.WhyDone {
+				c.taskDone(now, j, k.index)
+			}
+			exited[ek] = t.Why != wire.WhyDone || j.isDurable(k.index)
+			continue
+		}
+		if a != nil && a.state != maybe && a.launch != t.Attempt {
+			// Another attempt of a task that is to run here; the worker
+			// refuses the newer one, so it is the listed one that counts.
+			if a.state == recording || a.state == ordered {
+				a.launch = t.Attempt
+			}
+		}
+		if a == nil {
+			a = &attempt{launch: t.Attempt, orderedAt: now}
+			c.hold(m, k, a)
+			if j.state == jobActive {
+				j.unready(k.index)
+			}
+		}
+		seen[k] = true
+		a.launch = t.Attempt
+		if j.state != jobActive || j.done.Has(index) {
+			a.stop, a.grace = true, 0
+		}
+		was := a.state
+		switch t.State {
+		case wire.TaskRunning:
+			a.state = running
+		case wire.TaskSaving:
+			a.state = saving
+		default:
+			a.state = fetching
+		}
+		if (a.state == running || a.state == saving) && was != running && was != saving {
+			j.running++
+			a.runningAt = now
+			m.images[j.Image] = now
+			c.changed = true
+		}
+	}
+	for _, k := range sortedTasks(m) {
+		if seen[k] {
+			continue
+		}
+		a := m.attempts[k]
+		switch a.state {
+		case recording:
+		case ordered:
+			// Not there: the start did not run and, carried only by an
+			// answer now given up, never will.
+			a.sentSeq = 0
+			if a.stop || k.job.state != jobActive || k.job.done.Has(int(k.index)) || !c.open(now, m) {
+				c.drop(now, m, k)
+			}
+		default:
+			c.drop(now, m, k)
+		}
+	}
+	if !m.confirmed {
+		m.confirmed = true
+		m.idleFrom = now
+		c.changed = true
+		c.log.Debug().Str("machine", m.id).Int("tasks", len(r.Tasks)).Msg("machine confirmed")
+	}
+	m.exited = exited
+	m.orphans = orphans
+}
+
+// exit handles the end of an attempt by its reason.
+func (c *Controller) exit(now time.Time, m *machine, k taskKey, a *attempt, t *wire.TaskReport) {
+	j := k.job
+	switch t.Why {
+	case wire.WhyDone:
+		if a.state == running && !a.runningAt.IsZero() {
+			c.observe(j, now.Sub(a.runningAt).Seconds())
+		}
+		j.failures = 0
+		clear(m.failing)
+		m.images[j.Image] = now
+		c.taskDone(now, j, k.index)
+	case wire.WhyError:
+		c.log.Debug().Str("machine", m.id).Str("task", t.Task).Msg("task failed")
+		c.failed(now, j)
+		m.avoid[j.ID] = true
+		m.failing[j.ID] = true
+		if len(m.failing) >= tuning.FaultyJobs && !m.draining {
+			c.log.Info().Str("machine", m.id).Msg("faulty machine, draining")
+			m.draining = true
+		}
+	case wire.WhyNoRoom, wire.WhyBusy:
+		m.fullUntil = now.Add(tuning.FullPause)
+	case wire.WhyUnknown:
+		c.backOff(j, now.Add(tuning.UnknownPause))
+	}
+	c.drop(now, m, k)
+}
+
+// observe learns how run times compare with estimates, per class.
+func (c *Controller) observe(j *job, ran float64) {
+	x := ran / max(j.EstimateS, tuning.MinimumEstimate)
+	old, ok := c.ratio[j.Class]
+	if !ok {
+		old = 1
+	}
+	c.ratio[j.Class] = old + (x-old)*tuning.EstimateWeight
+}
+
+func (c *Controller) estimate(j *job) float64 {
+	e := max(j.EstimateS, tuning.MinimumEstimate)
+	if r, ok := c.ratio[j.Class]; ok {
+		e *= r
+	}
+	return e
+}
+
+func (j *job) unready(index int32) {
+	if i := slices.Index(j.ready, index); i >= 0 {
+		j.ready = slices.Delete(j.ready, i, i+1)
+	}
+}
+
+// notice stops tasks that can save when the machine is about to be taken.
+func (c *Controller) notice(now time.Time, m *machine) {
+	if m.noticeEnds.IsZero() {
+		return
+	}
+	left := m.noticeEnds.Sub(now).Seconds()
+	margin := tuning.NoticeSlack.Seconds()
+	for k, a := range m.attempts {
+		if a.stop || k.job.CheckpointS <= 0 || a.state != running {
+			continue
+		}
+		if left <= k.job.SaveS+margin {
+			a.stop, a.grace = true, k.job.SaveS
+		}
+	}
+}
+
+// commands puts orders into an answer: forgets first, then stops, then starts.
+func (c *Controller) commands(now time.Time, m *machine, seq uint64, authority bool, answer *wire.ReportAnswer) {
+	out := answer.Commands
+	exits := make([]exitKey, 0, len(m.exited))
+	for e, may := range m.exited {
+		if may {
+			exits = append(exits, e)
+		}
+	}
+	sort.Slice(exits, func(i, j int) bool {
+		if exits[i].task != exits[j].task {
+			return exits[i].task < exits[j].task
+		}
+		return exits[i].attempt < exits[j].attempt
+	})
+	for _, e := range exits {
+		out = append(out, wire.Command{Op: wire.OpForget, Task: e.task, Attempt: e.attempt})
+	}
+	zero := 0.0
+	for _, o := range m.orphans {
+		out = append(out, wire.Command{Op: wire.OpStop, Task: o.task, Attempt: o.attempt, GraceS: &zero})
+	}
+	keys := sortedTasks(m)
+	for _, k := range keys {
+		a := m.attempts[k]
+		if !a.stop || a.state < fetching || len(out) >= tuning.AnswerCommands {
+			continue
+		}
+		if a.state == saving && a.grace > 0 {
+			continue
+		}
+		grace := a.grace
+		out = append(out, wire.Command{Op: wire.OpStop, Task: wire.TaskName(k.job.ID, int(k.index)), Attempt: a.launch, GraceS: &grace})
+	}
+	if authority && !m.releasing {
+		for _, k := range keys {
+			a := m.attempts[k]
+			if a.state != ordered || a.stop || k.job.state != jobActive || len(out) >= tuning.AnswerCommands {
+				continue
+			}
+			a.sentSeq = seq
+			out = append(out, wire.Command{Op: wire.OpStart, Task: wire.TaskName(k.job.ID, int(k.index)), Attempt: a.launch})
+		}
+	}
+	answer.Commands = out
+}
+
+// open reports whether a machine takes new tasks.
+func (c *Controller) open(now time.Time, m *machine) bool {
+	return m.up && m.confirmed && !m.releasing && !m.draining && m.noticeEnds.IsZero() &&
+		m.total.CPUs > 0 && !now.Before(m.fullUntil) && !c.silent(now, m)
+}
+
+func (c *Controller) silent(now time.Time, m *machine) bool {
+	return now.Sub(m.heardAt) > seconds(c.params.Workers.ReportS*tuning.SilentReports)
+}
+
+// leaseOver reports whether all that the machine may have held is gone.
+func (c *Controller) leaseOver(now time.Time, m *machine) bool {
+	if !m.confirmed && now.Before(c.heirloom) {
+		return false
+	}
+	return m.answeredAt.IsZero() || now.Sub(m.answeredAt) > c.leaseTime()
+}
+
+// expire drops what was on machines whose lease has run out.
+func (c *Controller) expire(now time.Time) {
+	for _, m := range c.sortedMachines() {
+		if (len(m.attempts) > 0 || !m.confirmed) && c.leaseOver(now, m) && (m.up || m.recorded) {
+			if len(m.attempts) > 0 {
+				c.log.Info().Str("machine", m.id).Int("tasks", len(m.attempts)).Msg("lease over")
+			}
+			m.lostSession = m.session
+			c.dropAll(now, m)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/plan.go
@@ -0,0 +1,438 @@
+package controller
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"switchshore.example/switchshore/internal/provision"
+	"switchshore.example/switchshore/internal/sched"
+	"switchshore.example/switchshore/internal/tuning"
+	"switchshore.example/switchshore/wire"
+)
+
+// Tick does what time and changes have made due: leases that ran out,
+// completions to write and, with authority, a placement pass.
+func (c *Controller) Tick(now time.Time, authority bool) {
+	c.flushDone(now)
+	c.expire(now)
+	if authority && now.Sub(c.lastPass) >= tuning.PassGap && (c.changed || now.Sub(c.lastPass) >= time.Second) {
+		c.changed = false
+		c.lastPass = now
+		c.place(now)
+	}
+}
+
+// place runs a placement pass and records its starts.
+func (c *Controller) place(now time.Time) {
+	ready, byID := c.readyJobs(now)
+	if len(ready) == 0 {
+		return
+	}
+	var machines []*sched.Machine
+	for _, m := range c.sortedMachines() {
+		if c.open(now, m) {
+			machines = append(machines, c.snapshot(now, m))
+		}
+	}
+	if len(machines) == 0 {
+		return
+	}
+	teams := map[string]*sched.Team{}
+	for name, t := range c.teams {
+		teams[name] = &sched.Team{Used: t.used, Max: sched.Resources{CPUs: t.CPUsMax, GPUs: t.GPUsMax, MemoryGB: math.Inf(1)}}
+	}
+	starts := sched.Pass(ready, machines, teams, tuning.PassStarts)
+	touched := map[*machine][]*attempt{}
+	var order []*machine
+	for _, s := range starts {
+		j, m := byID[s.Job], c.machines[s.Machine]
+		last := len(j.ready) - 1
+		k := taskKey{j, j.ready[last]}
+		j.ready = j.ready[:last]
+		a := &attempt{launch: c.nextLaunch(), state: recording, orderedAt: now}
+		c.hold(m, k, a)
+		if touched[m] == nil {
+			order = append(order, m)
+		}
+		touched[m] = append(touched[m], a)
+	}
+	for _, m := range order {
+		started := touched[m]
+		// The start may go out only once the record of it is durable: a
+		// successor must know which machine to ask for the task.
+		c.record(m, func() {
+			for _, a := range started {
+				if a.state == recording {
+					a.state = ordered
+				}
+			}
+		})
+	}
+	if len(starts) == tuning.PassStarts {
+		c.changed = true
+	}
+}
+
+// readyJobs lists jobs with tasks to place, oldest first.
+func (c *Controller) readyJobs(now time.Time) ([]*sched.Ready, map[string]*job) {
+	var list []*job
+	for _, j := range c.jobs {
+		if j.state == jobActive && len(j.ready) > 0 && !now.Before(j.notUntil) {
+			list = append(list, j)
+		}
+	}
+	sort.Slice(list, func(i, k int) bool {
+		if !list[i].since.Equal(list[k].since) {
+			return list[i].since.Before(list[k].since)
+		}
+		return list[i].ID < list[k].ID
+	})
+	guaranteed := c.guaranteed()
+	byID := make(map[string]*job, len(list))
+	ready := make([]*sched.Ready, 0, len(list))
+	for _, j := range list {
+		r := &sched.Ready{
+			Job: j.ID, Team: j.Team, Level: j.level, Guaranteed: guaranteed[j],
+			Urgency: j.urgency(now), Tasks: len(j.ready), Need: j.need,
+			EstimateS: c.estimate(j), Image: j.Image, ImageGB: j.ImageGB,
+			Types: j.Types, Zone: j.Zone, OneZone: j.OneZone, Spread: j.Spread,
+			Spot: j.Spot, Total: j.Tasks, InZone: map[string]int{},
+		}
+		if j.failures > 0 {
+			// A job whose tasks fail tries one at a time.
+			r.Tasks = 1
+		}
+		for z, n := range j.inZone {
+			r.InZone[z] = n
+		}
+		byID[j.ID] = j
+		ready = append(ready, r)
+	}
+	return ready, byID
+}
+
+// urgency is the time left until the job's deadline, or less its age.
+func (j *job) urgency(now time.Time) float64 {
+	age := now.Sub(j.since).Seconds()
+	if j.DeadlineS != nil {
+		return *j.DeadlineS - age
+	}
+	return -age
+}
+
+// guaranteed tells which unfinished jobs fit into their team's guarantee
+// together with the team's earlier ones.
+func (c *Controller) guaranteed() map[*job]bool {
+	var list []*job
+	for _, j := range c.jobs {
+		if j.state == jobActive {
+			list = append(list, j)
+		}
+	}
+	sort.Slice(list, func(i, k int) bool {
+		if !list[i].since.Equal(list[k].since) {
+			return list[i].since.Before(list[k].since)
+		}
+		return list[i].ID < list[k].ID
+	})
+	used := map[string]sched.Resources{}
+	fits := map[*job]bool{}
+	for _, j := range list {
+		t := c.teams[j.Team]
+		if t == nil {
+			continue
+		}
+		left := float64(j.Tasks - j.done.Len())
+		sum := used[j.Team].Add(sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs}, left)
+		used[j.Team] = sum
+		if (sched.Resources{CPUs: t.CPUs, GPUs: t.GPUs}).Fits(sum) {
+			fits[j] = true
+		}
+	}
+	return fits
+}
+
+// snapshot describes a machine to the placement rule.
+func (c *Controller) snapshot(now time.Time, m *machine) *sched.Machine {
+	t := c.types[m.typ]
+	s := &sched.Machine{
+		ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot,
+		Total: m.total, Free: m.free, FetchGBPerS: t.FetchGBPerS, Price: t.Price,
+		Images: map[string]float64{}, Avoid: m.avoid,
+	}
+	if m.spot {
+		s.Price = t.SpotPrice
+	}
+	for image := range m.images {
+		s.Images[image] = 0
+	}
+	for k, a := range m.attempts {
+		fetch := 0.0
+		if _, cached := m.images[k.job.Image]; !cached && t.FetchGBPerS > 0 {
+			fetch = max(0, k.job.ImageGB/t.FetchGBPerS-now.Sub(a.orderedAt).Seconds())
+			if old, ok := s.Images[k.job.Image]; !ok || fetch > old {
+				s.Images[k.job.Image] = fetch
+			}
+		}
+		s.Loads = append(s.Loads, sched.Load{Need: k.job.need, RemainingS: c.remaining(now, k.job, a) + fetch})
+	}
+	return s
+}
+
+// remaining is the run time left of an attempt by its estimate, at least zero.
+func (c *Controller) remaining(now time.Time, j *job, a *attempt) float64 {
+	ran := 0.0
+	if !a.runningAt.IsZero() {
+		ran = now.Sub(a.runningAt).Seconds()
+	}
+	return max(0, c.estimate(j)-ran)
+}
+
+// Cloud calls.
+
+// CloudOp is the kind of a cloud call.
+type CloudOp int
+
+// Cloud calls.
+const (
+	CloudTypes CloudOp = iota
+	CloudList
+	CloudRent
+	CloudRelease
+)
+
+// CloudCall is a call to be made.
+type CloudCall struct {
+	Op      CloudOp
+	Rent    wire.RentRequest
+	Release []string
+}
+
+// Plan decides about renting and returning, at most once per planning period.
+func (c *Controller) Plan(now time.Time) []CloudCall {
+	if now.Before(c.nextPlan) || len(c.types) == 0 || c.lists == 0 {
+		return nil
+	}
+	c.nextPlan = now.Add(tuning.PlanEvery)
+	var calls []CloudCall
+	in := c.planInput(now)
+	if now.Sub(c.started) < seconds(c.params.Cloud.ListLagS) && c.term > 1 {
+		// Machines that a predecessor rented last are not listed yet.
+		in.Demand = nil
+	}
+	plan := provision.Make(in)
+	var offers []provision.Offer
+	for o := range plan.Rent {
+		offers = append(offers, o)
+	}
+	sort.Slice(offers, func(i, k int) bool {
+		a, b := offers[i], offers[k]
+		if a.Spot != b.Spot {
+			return a.Spot
+		}
+		if a.Type != b.Type {
+			return a.Type < b.Type
+		}
+		return a.Zone < b.Zone
+	})
+	for _, o := range offers {
+		c.rentals++
+		r := wire.RentRequest{
+			Request: fmt.Sprintf("r-%d-%d", c.term, c.rentals),
+			Type:    o.Type, Zone: o.Zone, Spot: o.Spot, Count: min(plan.Rent[o], tuning.MaxRent),
+		}
+		c.renting[r.Request] = &rental{offer: o, count: r.Count, at: now}
+		calls = append(calls, CloudCall{Op: CloudRent, Rent: r})
+	}
+	give := plan.Return
+	for _, m := range c.sortedMachines() {
+		if !m.releasing && c.useless(now, m) {
+			give = append(give, m.id)
+		}
+	}
+	var names []string
+	for _, id := range give {
+		if m := c.machines[id]; m != nil && !m.releasing && len(names) < tuning.MaxRelease {
+			m.releasing = true
+			names = append(names, id)
+		}
+	}
+	if len(names) > 0 {
+		calls = append(calls, CloudCall{Op: CloudRelease, Release: names})
+	}
+	return calls
+}
+
+// useless reports whether a machine will do no more work: failed, never up,
+// silent for long, or emptied for a drain.
+func (c *Controller) useless(now time.Time, m *machine) bool {
+	boot := c.types[m.typ].BootS
+	switch {
+	case m.failed:
+		return true
+	case !m.up:
+		return boot > 0 && now.Sub(m.rentedAt).Seconds() > boot*tuning.BootPatience
+	case c.silent(now, m) && m.missing >= 2:
+		return true
+	case len(m.attempts) == 0 && (m.draining || !m.noticeEnds.IsZero()):
+		return true
+	}
+	heard := m.heardAt
+	if heard.IsZero() {
+		heard = c.started
+	}
+	return now.Sub(heard) > c.leaseTime()+tuning.AbandonAfter
+}
+
+func (c *Controller) planInput(now time.Time) provision.Input {
+	in := provision.Input{
+		Types:       c.offers,
+		HorizonS:    tuning.PlanHorizon.Seconds(),
+		KeepIdle:    tuning.IdleKeep,
+		MaxMachines: c.operator.MaxMachines,
+		Refused: func(o provision.Offer) bool {
+			return now.Before(c.refused[o])
+		},
+	}
+	if c.operator.HorizonS > 0 {
+		in.HorizonS = c.operator.HorizonS
+	}
+	if c.operator.KeepIdleS > 0 {
+		in.KeepIdle = seconds(c.operator.KeepIdleS)
+	}
+	busy := 0.0
+	for _, m := range c.sortedMachines() {
+		if m.releasing {
+			continue
+		}
+		t := c.types[m.typ]
+		p := provision.Machine{
+			ID: m.id, Offer: provision.Offer{Type: m.typ, Zone: m.zone, Spot: m.spot},
+			Total: m.total, Open: !m.draining && m.noticeEnds.IsZero() && !(m.up && c.silent(now, m)),
+			Idle: len(m.attempts) == 0 && m.up && m.confirmed, IdleFor: now.Sub(m.idleFrom), Price: t.Price,
+		}
+		if m.spot {
+			p.Price = t.SpotPrice
+		}
+		if !m.up {
+			p.ReadyInS = max(0, t.BootS-now.Sub(m.rentedAt).Seconds())
+		}
+		for k, a := range m.attempts {
+			p.BusyS += c.remaining(now, k.job, a) * k.job.CPUs
+			busy += k.job.CPUs
+		}
+		in.Machines = append(in.Machines, p)
+	}
+	for _, r := range c.renting {
+		t := c.types[r.offer.Type]
+		for range r.count {
+			in.Machines = append(in.Machines, provision.Machine{
+				Offer: r.offer, Total: resources(t), Open: true, ReadyInS: t.BootS,
+			})
+		}
+	}
+	room := map[string]float64{}
+	for name, t := range c.teams {
+		room[name] = t.CPUsMax - t.used.CPUs
+	}
+	ready, byID := c.readyJobs(now)
+	sort.SliceStable(ready, func(i, k int) bool { return ready[i].Level < ready[k].Level })
+	for _, r := range ready {
+		j := byID[r.Job]
+		limit := int(max(0, room[j.Team]) / max(j.CPUs, 1e-9))
+		n := min(len(j.ready), limit)
+		room[j.Team] -= float64(n) * j.CPUs
+		if j.failures > 0 || n == 0 {
+			continue
+		}
+		in.Demand = append(in.Demand, provision.Demand{
+			Tasks: n, Limit: n, Need: j.need, EstimateS: r.EstimateS,
+			Types: j.Types, Zone: j.Zone, Spot: j.Spot,
+		})
+	}
+	c.smooth(now, busy)
+	in.ReserveCPUs = c.reserve
+	return in
+}
+
+// smooth keeps an exponentially weighted mean of the CPUs in use.
+func (c *Controller) smooth(now time.Time, cpus float64) {
+	if c.reserved.IsZero() {
+		c.reserve = cpus
+	} else {
+		w := 1 - math.Exp(-now.Sub(c.reserved).Seconds()/tuning.DemandDecay.Seconds())
+		c.reserve += (cpus - c.reserve) * w
+	}
+	c.reserved = now
+}
+
+// Rented takes in the answer of a rental: names, or none if refused.
+func (c *Controller) Rented(now time.Time, r wire.RentRequest, names []string) {
+	rent := c.renting[r.Request]
+	delete(c.renting, r.Request)
+	if rent == nil {
+		return
+	}
+	for _, id := range names {
+		if c.released[id] || c.machines[id] != nil {
+			continue
+		}
+		m := c.addMachine(now, id, r.Type, r.Zone, "", r.Spot)
+		m.rentedAt = rent.at
+	}
+	if len(names) < r.Count {
+		c.refused[rent.offer] = now.Add(tuning.RefusalPause)
+	}
+	c.log.Debug().Str("request", r.Request).Str("zone", r.Zone).Bool("spot", r.Spot).Int("wanted", r.Count).Int("got", len(names)).Msg("rented")
+}
+
+// Released takes in that machines, and all on them, are gone.
+func (c *Controller) Released(now time.Time, names []string) {
+	for _, id := range names {
+		c.released[id] = true
+		m := c.machines[id]
+		if m == nil {
+			continue
+		}
+		c.dropAll(now, m)
+		delete(c.machines, id)
+		if m.recorded {
+			c.writes.del(keyMachine(id))
+		}
+	}
+	c.log.Debug().Strs("machines", names).Msg("released")
+	c.changed = true
+}
+
+// Listed takes in a complete machine list, asked for at the given time.
+func (c *Controller) Listed(now, asked time.Time, list []wire.ListedMachine) {
+	c.lists++
+	there := make(map[string]bool, len(list))
+	for _, row := range list {
+		there[row.Name] = true
+		if c.released[row.Name] {
+			continue
+		}
+		m := c.machines[row.Name]
+		if m == nil {
+			m = c.addMachine(now, row.Name, row.Type, row.Zone, row.Addr, row.Spot)
+			m.rentedAt = asked.Add(-seconds(row.AgeS))
+		}
+		if m.addr == "" {
+			m.addr = row.Addr
+		}
+		m.listed = true
+		m.missing = 0
+		if row.State == wire.MachineFailed {
+			m.failed = true
+		}
+	}
+	for _, m := range c.machines {
+		if !there[m.id] && (m.listed || m.recorded) {
+			m.missing++
+		}
+	}
+	c.listedAt = now
+}
--- /dev/null
+++ b/internal/election/election.go
@@ -0,0 +1,223 @@
+// Package election makes one controller at a time the leader: it holds a key
+// on a lease of the state service, and raises a persistent term in the same
+// transaction that takes the key. The term is the workers' token.
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"switchshore.example/switchshore/internal/httpc"
+	"switchshore.example/switchshore/internal/store"
+	"switchshore.example/switchshore/internal/tuning"
+	"switchshore.example/switchshore/wire"
+)
+
+// LeaderRecord is the value of the leader key.
+type LeaderRecord struct {
+	Node  string `json:"node"`
+	Nonce uint64 `json:"nonce"`
+}
+
+// Leadership is one won term.
+type Leadership struct {
+	Term          uint64
+	LeaderVersion uint64
+	TermVersion   uint64
+	// WonAt is when the win was known: every earlier leader's authority had
+	// ended by then.
+	WonAt time.Time
+
+	lease uint64
+	until atomic.Pointer[time.Time]
+	lost  atomic.Bool
+}
+
+// NewLeadership returns a term that is confirmed until the given time; tests
+// build their own.
+func NewLeadership(term uint64, until time.Time) *Leadership {
+	l := &Leadership{Term: term}
+	l.extend(until)
+	return l
+}
+
+func (l *Leadership) extend(until time.Time) { l.until.Store(&until) }
+
+// Authority reports whether this node certainly is the leader at now.
+func (l *Leadership) Authority(now time.Time) bool {
+	return !l.lost.Load() && now.Before(*l.until.Load())
+}
+
+// Grace reports whether this node may still answer reports in its term: it
+// has authority, or lost touch with the state service less than grace ago
+// and doesn't know of a successor.
+func (l *Leadership) Grace(now time.Time, grace time.Duration) bool {
+	return !l.lost.Load() && now.Before(l.until.Load().Add(grace))
+}
+
+// authorityFrom is the end of the authority that a renewal sent at the given
+// time gives: the lease can't end before, as seen from this clock.
+func authorityFrom(sent time.Time) time.Time {
+	life := time.Duration(float64(tuning.LeaderTTL) * (1 - tuning.ClockDrift))
+	return sent.Add(life - tuning.AuthorityMargin)
+}
+
+// Election campaigns for one node.
+type Election struct {
+	Store store.API
+	Node  string
+	Log   zerolog.Logger
+	// Lead runs while the node leads; its context ends with the term.
+	Lead func(context.Context, *Leadership) error
+
+	nonce uint64
+}
+
+// Run campaigns, leads and campaigns again until the context ends.
+func (e *Election) Run(ctx context.Context) error {
+	e.nonce = rand.Uint64() >> 12
+	for ctx.Err() == nil {
+		l, err := e.campaign(ctx)
+		if err != nil {
+			e.Log.Debug().Err(err).Msg("campaign")
+			_ = store.Pause(ctx, tuning.CampaignRetry)
+			continue
+		}
+		if l != nil {
+			e.reign(ctx, l)
+		}
+	}
+	return ctx.Err()
+}
+
+// campaign waits until the leader key is free and tries to take it once. It
+// returns nil without an error when another node holds or took the key.
+func (e *Election) campaign(ctx context.Context) (*Leadership, error) {
+	var leaderVersion uint64
+	leader, err := e.Store.Get(ctx, store.KeyLeader)
+	switch {
+	case err == nil:
+		var rec LeaderRecord
+		if err := json.Unmarshal(leader.Value, &rec); err != nil {
+			return nil, err
+		}
+		// The key of this node's previous process can be taken over at once:
+		// a node runs one process, so that one is dead.
+		if rec.Node != e.Node || rec.Nonce == e.nonce {
+			err := e.Store.Wait(ctx, store.KeyLeader, leader.Version, tuning.WatchBlock)
+			return nil, err
+		}
+		leaderVersion = leader.Version
+	case !errors.Is(err, store.ErrNotFound):
+		return nil, err
+	default:
+		jitter := rand.N(tuning.CampaignJitter)
+		if err := store.Pause(ctx, jitter); err != nil {
+			return nil, err
+		}
+	}
+	var term store.TermRecord
+	item, err := e.Store.Get(ctx, store.KeyTerm)
+	switch {
+	case err == nil:
+		if err := json.Unmarshal(item.Value, &term); err != nil {
+			return nil, err
+		}
+	case !errors.Is(err, store.ErrNotFound):
+		return nil, err
+	}
+	sent := time.Now()
+	lease, err := e.Store.Grant(ctx, tuning.LeaderTTL)
+	if err != nil {
+		return nil, err
+	}
+	e.nonce++
+	l := &Leadership{Term: term.Term + 1, lease: lease}
+	leaderValue, err := json.Marshal(LeaderRecord{Node: e.Node, Nonce: e.nonce})
+	if err != nil {
+		return nil, err
+	}
+	termValue, err := json.Marshal(store.TermRecord{Term: l.Term})
+	if err != nil {
+		return nil, err
+	}
+	res, err := e.Store.Commit(ctx, wire.Txn{
+		If: []wire.Guard{{Key: store.KeyLeader, Version: leaderVersion}, {Key: store.KeyTerm, Version: item.Version}},
+		Then: []wire.Write{
+			{Put: store.KeyLeader, Value: leaderValue, Lease: lease},
+			{Put: store.KeyTerm, Value: termValue},
+		},
+	})
+	switch {
+	case err == nil:
+		l.LeaderVersion, l.TermVersion = res.Revision, res.Revision
+	case errors.Is(err, httpc.ErrNoAnswer):
+		// Settled by reading: either the key carries this campaign's nonce,
+		// or, should the transaction come later, nobody renews its lease.
+		got, err := e.Store.Get(ctx, store.KeyLeader)
+		if err != nil {
+			return nil, err
+		}
+		var rec LeaderRecord
+		if err := json.Unmarshal(got.Value, &rec); err != nil {
+			return nil, err
+		}
+		if rec.Node != e.Node || rec.Nonce != e.nonce {
+			return nil, nil
+		}
+		l.LeaderVersion, l.TermVersion = got.Version, got.Version
+	default:
+		_ = e.Store.Revoke(ctx, lease)
+		if errors.Is(err, store.ErrConflict) {
+			return nil, nil
+		}
+		return nil, err
+	}
+	l.WonAt = time.Now()
+	l.extend(authorityFrom(sent))
+	return l, nil
+}
+
+// reign runs Lead and renews the lease until the term is known to be over.
+func (e *Election) reign(ctx context.Context, l *Leadership) {
+	e.Log.Info().Uint64("term", l.Term).Msg("leading")
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer cancel()
+		if err := e.Lead(ctx, l); err != nil && ctx.Err() == nil {
+			e.Log.Info().Err(err).Uint64("term", l.Term).Msg("lead ended")
+		}
+	}()
+	for ctx.Err() == nil {
+		sent := time.Now()
+		err := e.Store.Renew(ctx, l.lease)
+		switch {
+		case err == nil:
+			l.extend(authorityFrom(sent))
+			_ = store.Pause(ctx, tuning.RenewEvery)
+		case errors.Is(err, store.ErrNotFound):
+			e.Log.Info().Uint64("term", l.Term).Msg("lease lost")
+			l.lost.Store(true)
+			cancel()
+		default:
+			_ = store.Pause(ctx, tuning.StoreRetry)
+		}
+	}
+	l.lost.Store(true)
+	cancel()
+	<-done
+	// A term that ended by itself frees the key for the others; failing that,
+	// the lease runs out.
+	bg, stop := context.WithTimeout(context.Background(), tuning.RenewTimeout)
+	defer stop()
+	_ = e.Store.Revoke(bg, l.lease)
+	e.Log.Info().Uint64("term", l.Term).Msg("led")
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,415 @@
+// Package node joins the parts into one controller process: it campaigns,
+// leads or forwards, and runs the loops that carry the controller's decisions
+// to the state service and the cloud.
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"switchshore.example/switchshore/internal/api"
+	"switchshore.example/switchshore/internal/cloud"
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/controller"
+	"switchshore.example/switchshore/internal/election"
+	"switchshore.example/switchshore/internal/peer"
+	"switchshore.example/switchshore/internal/store"
+	"switchshore.example/switchshore/internal/tuning"
+	"switchshore.example/switchshore/wire"
+)
+
+// Node is one controller process.
+type Node struct {
+	log      zerolog.Logger
+	config   *config.Config
+	operator *config.Operator
+	store    *store.Client
+	cloud    *cloud.Client
+	hub      *peer.Hub
+	grace    time.Duration
+
+	// mu guards the picture; nothing is sent or awaited under it.
+	mu         sync.Mutex
+	picture    *controller.Controller
+	leadership *election.Leadership
+
+	tick  chan struct{}
+	write chan struct{}
+
+	reachMu   sync.Mutex
+	reachedAt time.Time
+	reached   bool
+}
+
+// New builds a node from checked settings.
+func New(log zerolog.Logger, c *config.Config, o *config.Operator) *Node {
+	n := &Node{
+		log:      log,
+		config:   c,
+		operator: o,
+		store:    store.NewClient(c.Services.State, c.Params.State, len(c.Peers)+1),
+		cloud:    cloud.NewClient(c.Services.Cloud, c.Params.Cloud),
+		hub:      peer.NewHub(log, c.Peers),
+		grace:    controller.Grace(c.Params.Workers),
+		tick:     make(chan struct{}, 1),
+		write:    make(chan struct{}, 1),
+	}
+	n.hub.Self = n.beat
+	n.hub.Serve = n.serve
+	return n
+}
+
+// Run serves until the context ends or a listener fails.
+func (n *Node) Run(ctx context.Context) error {
+	users, err := net.Listen("tcp4", n.config.Listen)
+	if err != nil {
+		return err
+	}
+	peers, err := net.Listen("tcp4", n.config.PeerListen)
+	if err != nil {
+		return err
+	}
+	n.log.Info().Str("node", n.config.Name).Str("listen", n.config.Listen).Msg("serving")
+	g, ctx := errgroup.WithContext(ctx)
+	server := api.New(n.log, n, n.config.Params.Limits)
+	g.Go(func() error { return server.Run(ctx, users) })
+	g.Go(func() error { return n.hub.Run(ctx, peers) })
+	e := &election.Election{Store: n.store, Node: n.config.Name, Log: n.log, Lead: n.lead}
+	g.Go(func() error { return e.Run(ctx) })
+	return g.Wait()
+}
+
+// beat tells peers what this node knows of the leader.
+func (n *Node) beat() peer.Beat {
+	b := peer.Beat{Node: n.config.Name, Hears: n.hub.HearsLeader()}
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.picture != nil {
+		b.Term = n.leadership.Term
+		b.Leads = n.leadership.Authority(now)
+		b.Grace = n.leadership.Grace(now, n.grace)
+	}
+	return b
+}
+
+// Healthy reports whether requests can be taken: a leader is within reach,
+// or was a moment ago.
+func (n *Node) Healthy() bool {
+	now := time.Now()
+	b := n.beat()
+	ok := b.Leads || n.hub.Reaches()
+	n.reachMu.Lock()
+	defer n.reachMu.Unlock()
+	if ok {
+		n.reached, n.reachedAt = true, now
+	}
+	return n.reached && now.Sub(n.reachedAt) < tuning.HealthPatience
+}
+
+// serve answers a peer's call, relaying it once at most.
+func (n *Node) serve(ctx context.Context, c peer.Call) peer.Answer { return n.Do(ctx, c) }
+
+func refusal(status int, why string) peer.Answer {
+	body, _ := json.Marshal(wire.Error{Error: why})
+	return peer.Answer{Status: status, Body: body}
+}
+
+// Do carries a call out if this node leads, or forwards it to the leader.
+func (n *Node) Do(ctx context.Context, c peer.Call) peer.Answer {
+	if a, mine := n.local(ctx, c); mine {
+		return a
+	}
+	wait := tuning.QueryWait
+	switch c.Op {
+	case peer.OpSubmit, peer.OpCancel:
+		wait = tuning.SubmitWait
+	case peer.OpReport:
+		wait = tuning.ReportWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	a, err := n.hub.Forward(ctx, c)
+	if err != nil {
+		return refusal(http.StatusServiceUnavailable, "no leader within reach")
+	}
+	return a
+}
+
+// local carries a call out with this node's own picture, if it has one.
+func (n *Node) local(ctx context.Context, c peer.Call) (peer.Answer, bool) {
+	now := time.Now()
+	n.mu.Lock()
+	p, l := n.picture, n.leadership
+	if p == nil {
+		n.mu.Unlock()
+		return peer.Answer{}, false
+	}
+	authority := l.Authority(now)
+	if c.Op == peer.OpReport {
+		defer n.wake(n.tick)
+		defer n.mu.Unlock()
+		return n.report(now, p, l, c.Body, authority)
+	}
+	if !authority {
+		n.mu.Unlock()
+		return peer.Answer{}, false
+	}
+	result := make(chan controller.Verdict, 1)
+	then := func(v controller.Verdict) { result <- v }
+	switch c.Op {
+	case peer.OpQuery:
+		then(p.Query(c.Job))
+	case peer.OpCancel:
+		p.Cancel(now, c.Job, then)
+	case peer.OpSubmit:
+		var spec wire.Job
+		if err := json.Unmarshal(c.Body, &spec); err != nil {
+			then(controller.Verdict{Status: 400, Why: err.Error()})
+			break
+		}
+		p.Submit(now, time.Now(), &spec, then)
+	}
+	n.mu.Unlock()
+	n.wake(n.write)
+	timer := time.NewTimer(tuning.SubmitWait)
+	defer timer.Stop()
+	select {
+	case v := <-result:
+		return verdictAnswer(c, v), true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return refusal(http.StatusServiceUnavailable, "state service does not answer"), true
+}
+
+func verdictAnswer(c peer.Call, v controller.Verdict) peer.Answer {
+	if v.Status/100 != 2 {
+		return refusal(v.Status, v.Why)
+	}
+	body, _ := json.Marshal(wire.JobStatus{ID: c.Job, State: v.State, Done: v.Done, Running: v.Run})
+	return peer.Answer{Status: v.Status, Body: body}
+}
+
+// report answers a worker. Called under mu.
+func (n *Node) report(now time.Time, p *controller.Controller, l *election.Leadership, body []byte, authority bool) (peer.Answer, bool) {
+	if !l.Grace(now, n.grace) {
+		return peer.Answer{}, false
+	}
+	r, err := wire.ParseReport(body)
+	if err != nil {
+		return refusal(http.StatusBadRequest, err.Error()), true
+	}
+	answer, entitled := p.Report(now, r, authority)
+	if !entitled {
+		return peer.Answer{}, false
+	}
+	data, _ := json.Marshal(answer)
+	return peer.Answer{Status: http.StatusOK, Body: data}, true
+}
+
+func (n *Node) wake(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// lead is one term: load the picture, then keep it until the term ends.
+func (n *Node) lead(ctx context.Context, l *election.Leadership) error {
+	n.store.SetLeading(true)
+	defer n.store.SetLeading(false)
+	p, err := n.load(ctx, l)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	n.picture, n.leadership = p, l
+	n.mu.Unlock()
+	n.hub.Poke()
+	defer func() {
+		n.mu.Lock()
+		n.picture, n.leadership = nil, nil
+		p.Stop()
+		n.mu.Unlock()
+		n.hub.Poke()
+	}()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return n.writeLoop(ctx, p, l) })
+	g.Go(func() error { return n.tickLoop(ctx, p, l) })
+	g.Go(func() error { return n.typesLoop(ctx, p) })
+	g.Go(func() error { return n.listLoop(ctx, p) })
+	return g.Wait()
+}
+
+// load reads everything stored. The reads come after the leader key was
+// taken, so no predecessor's write can come after them.
+func (n *Node) load(ctx context.Context, l *election.Leadership) (*controller.Controller, error) {
+	for {
+		p := controller.New(n.log, n.config.Params, *n.operator, l.Term, l.WonAt, n.grace)
+		var err error
+		for _, prefix := range controller.Prefixes {
+			err = n.store.List(ctx, prefix, func(item wire.Item) error {
+				return p.Load(time.Now(), time.Now(), item)
+			})
+			if err != nil {
+				break
+			}
+		}
+		if err == nil {
+			p.Loaded(time.Now())
+			return p, nil
+		}
+		n.log.Debug().Err(err).Msg("load")
+		if err := store.Pause(ctx, tuning.StoreRetry); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// writeLoop commits the picture's changes, one batch after the other.
+func (n *Node) writeLoop(ctx context.Context, p *controller.Controller, l *election.Leadership) error {
+	w := store.NewWriter(n.store, l.Term, l.LeaderVersion, l.TermVersion)
+	for {
+		n.mu.Lock()
+		b := p.NextBatch(n.store.MaxOps())
+		n.mu.Unlock()
+		if b == nil {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-n.write:
+			}
+			if err := store.Pause(ctx, tuning.BatchGap); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := w.Commit(ctx, b.Writes); err != nil {
+			return err
+		}
+		n.mu.Lock()
+		p.Committed(b)
+		n.mu.Unlock()
+		n.wake(n.tick)
+	}
+}
+
+// tickLoop runs placement passes and plans.
+func (n *Node) tickLoop(ctx context.Context, p *controller.Controller, l *election.Leadership) error {
+	timer := time.NewTicker(tuning.TickEvery)
+	defer timer.Stop()
+	calls, ctx := errgroup.WithContext(ctx)
+	defer func() { _ = calls.Wait() }()
+	summary := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		case <-n.tick:
+		}
+		now := time.Now()
+		authority := l.Authority(now)
+		n.mu.Lock()
+		p.Tick(now, authority)
+		var todo []controller.CloudCall
+		if authority {
+			todo = p.Plan(now)
+		}
+		counts := p.Counts()
+		n.mu.Unlock()
+		if counts.Writes > 0 {
+			n.wake(n.write)
+		}
+		for _, call := range todo {
+			calls.Go(func() error {
+				n.callCloud(ctx, p, call)
+				return nil
+			})
+		}
+		if now.Sub(summary) > tuning.SummaryEvery {
+			summary = now
+			n.log.Debug().Int("jobs", counts.Jobs).Int("ready", counts.Ready).Int("held", counts.Held).
+				Int("machines", counts.Machines).Int("up", counts.Up).Int("writes", counts.Writes).Msg("summary")
+		}
+		if err := store.Pause(ctx, tuning.TickGap); err != nil {
+			return err
+		}
+	}
+}
+
+// callCloud carries one rental or release through to an answer.
+func (n *Node) callCloud(ctx context.Context, p *controller.Controller, call controller.CloudCall) {
+	for ctx.Err() == nil {
+		var names []string
+		var err error
+		if call.Op == controller.CloudRent {
+			names, err = n.cloud.Rent(ctx, call.Rent)
+			if errors.Is(err, cloud.ErrRefused) || errors.Is(err, cloud.ErrMalformed) {
+				names, err = nil, nil
+			}
+		} else {
+			err = n.cloud.Release(ctx, call.Release)
+		}
+		if err == nil {
+			now := time.Now()
+			n.mu.Lock()
+			if call.Op == controller.CloudRent {
+				p.Rented(now, call.Rent, names)
+			} else {
+				p.Released(now, call.Release)
+			}
+			n.mu.Unlock()
+			n.wake(n.tick)
+			return
+		}
+		n.log.Debug().Err(err).Msg("cloud")
+		_ = store.Pause(ctx, tuning.CloudRetry)
+	}
+}
+
+func (n *Node) typesLoop(ctx context.Context, p *controller.Controller) error {
+	for {
+		types, err := n.cloud.Types(ctx)
+		pause := tuning.TypesEvery
+		if err != nil {
+			pause = tuning.CloudRetry
+		} else {
+			n.mu.Lock()
+			p.SetTypes(types)
+			n.mu.Unlock()
+			n.wake(n.tick)
+		}
+		if err := store.Pause(ctx, pause); err != nil {
+			return err
+		}
+	}
+}
+
+func (n *Node) listLoop(ctx context.Context, p *controller.Controller) error {
+	every := max(tuning.ListMinimum, time.Duration(n.config.Params.Cloud.ListLagS*tuning.ListEvery*float64(time.Second)))
+	for {
+		asked := time.Now()
+		list, err := n.cloud.List(ctx)
+		pause := every
+		if err != nil {
+			pause = tuning.CloudRetry
+		} else {
+			n.mu.Lock()
+			p.Listed(time.Now(), asked, list)
+			n.mu.Unlock()
+		}
+		if err := store.Pause(ctx, pause); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,209 @@
+// Package tuning holds every constant of the service, each with its unit and
+// the reason for its value. What depends on a deployment comes from the
+// settings and the machine types instead.
+package tuning
+
+import "time"
+
+// Clocks.
+const (
+	// ClockDrift is the relative error of a steady clock (protocol: 0.05%);
+	// doubled, as two machines' clocks may err in opposite directions.
+	ClockDrift = 0.001
+	// AuthorityMargin is taken off the end of a leader's authority, for the
+	// time between a check and the answer leaving the process.
+	AuthorityMargin = 250 * time.Millisecond
+	// ExpiryMargin is added before a worker's lease is presumed over, for
+	// timer steps and scheduling pauses on the worker's side.
+	ExpiryMargin = 1 * time.Second
+)
+
+// Leadership.
+const (
+	// LeaderTTL is the life of the leader's lease in the state service: long
+	// enough for a few slow renewals, short enough for a quick succession.
+	LeaderTTL = 3 * time.Second
+	// RenewEvery paces renewals: four tries within one life.
+	RenewEvery = 700 * time.Millisecond
+	// RenewTimeout bounds one renewal; the state service seldom takes more
+	// than a few hundred milliseconds.
+	RenewTimeout = 1 * time.Second
+	// CampaignJitter spreads simultaneous campaigns of several nodes.
+	CampaignJitter = 60 * time.Millisecond
+	// CampaignRetry paces campaigns and reads that failed.
+	CampaignRetry = 300 * time.Millisecond
+	// WatchBlock is how long a follower's watch on the leader key may wait;
+	// a bound on what a lost answer can hide.
+	WatchBlock = 3 * time.Second
+	// GraceReserve is kept free within cancel_s when the time is chosen for
+	// which a leader without the state service goes on answering reports:
+	// grace + worker lease + reserve stays below cancel_s.
+	GraceReserve = 5 * time.Second
+)
+
+// State service.
+const (
+	// StoreTimeout bounds a read or a transaction before its outcome counts
+	// as unknown.
+	StoreTimeout = 1500 * time.Millisecond
+	// StoreRetry is the pause after a refusal (429, 503).
+	StoreRetry = 150 * time.Millisecond
+	// StoreLeaderShare and StoreFollowerShare divide the request budget: the
+	// leader writes, each of the others only watches the leader key.
+	StoreLeaderShare   = 0.70
+	StoreFollowerShare = 0.20
+	// StoreWriteShare is the part of the write budget that the leader uses;
+	// the rest is left to campaigns and to a predecessor's last writes.
+	StoreWriteShare = 0.85
+	// BatchGap lets changes gather between two transactions.
+	BatchGap = 15 * time.Millisecond
+	// TxnBytes bounds a transaction's values (protocol: 64 KiB altogether).
+	TxnBytes = 48 << 10
+	// PageSize is the number of keys asked for at once (protocol: 1,000).
+	PageSize = 1000
+	// PendingWrites bounds the queue of changes; beyond it submissions are
+	// refused with Retry-After.
+	PendingWrites = 4000
+	// DoneChunk is the number of tasks whose completion shares one key: even
+	// fragmented, its ranges stay far below the smallest value limit.
+	DoneChunk = 1024
+	// DoneFlush lets completions of one job gather before they are written.
+	DoneFlush = 200 * time.Millisecond
+)
+
+// Cloud.
+const (
+	// CloudTimeout bounds a call; the cloud answers in a fraction of a second.
+	CloudTimeout = 5 * time.Second
+	// CloudShare is the part of the call budget that the leader uses.
+	CloudShare = 0.8
+	// ListEvery paces machine lists, as a multiple of the list's lag.
+	ListEvery = 0.6
+	// ListMinimum is the shortest pause between lists.
+	ListMinimum = 2 * time.Second
+	// TypesEvery paces price updates.
+	TypesEvery = 60 * time.Second
+	// RefusalPause is how long a type, zone and kind is left alone after it
+	// had no capacity; a refusal costs one call.
+	RefusalPause = 6 * time.Second
+	// CloudRetry paces retries of calls that failed.
+	CloudRetry = 1 * time.Second
+	// MaxRent is the largest rental (protocol: 50).
+	MaxRent = 50
+	// MaxRelease is the largest release (protocol: 100).
+	MaxRelease = 100
+	// MinimumBill is what a deleted machine costs at least.
+	MinimumBill = 60 * time.Second
+)
+
+// Placement.
+const (
+	// PassGap is the pause between two placement passes, to gather changes.
+	PassGap = 40 * time.Millisecond
+	// TickEvery is the longest pause between two looks at what is due.
+	TickEvery = 200 * time.Millisecond
+	// TickGap is the shortest.
+	TickGap = 20 * time.Millisecond
+	// SummaryEvery paces the summary in the debug log.
+	SummaryEvery = 5 * time.Second
+	// PassStarts bounds the starts of one pass, for the controller's share of
+	// a core; the rest follows in the next pass.
+	PassStarts = 200
+	// MachineTasks bounds the tasks running and queued on one machine, so
+	// that its record stays below the value limit of the state service.
+	MachineTasks = 128
+	// RetryMin and RetryMax bound the exponential pause of a job whose tasks
+	// fail, so that it doesn't starve others.
+	RetryMin = 2 * time.Second
+	RetryMax = 60 * time.Second
+	// UnknownPause is the pause after a worker found a job not uploaded yet.
+	UnknownPause = 3 * time.Second
+	// FullPause keeps a machine that refused a start free of new ones.
+	FullPause = 3 * time.Second
+	// FaultyJobs is the number of different jobs whose tasks must fail on a
+	// machine in a row before the machine is taken for faulty and drained.
+	FaultyJobs = 2
+	// EstimateWeight is the weight of a new observation in the per-class
+	// ratio of run time to estimate.
+	EstimateWeight = 0.05
+	// MinimumEstimate keeps zero estimates from looking free, in seconds.
+	MinimumEstimate = 1.0
+)
+
+// Machines.
+const (
+	// SilentReports is how many report intervals without a report make a
+	// machine silent: no new starts there.
+	SilentReports = 2.5
+	// AbandonAfter is how long after its lease ran out a silent machine is
+	// kept before it is returned.
+	AbandonAfter = 20 * time.Second
+	// BootPatience is the multiple of the nominal boot time after which a
+	// machine that never reported is returned.
+	BootPatience = 3.5
+	// IdleKeep is how long an idle machine is kept when it isn't needed.
+	IdleKeep = 12 * time.Second
+	// PlanEvery paces the provisioning plan.
+	PlanEvery = 1 * time.Second
+	// PlanHorizon is the time within which the work at hand should be done
+	// with the machines at hand; work beyond it makes the planner rent.
+	PlanHorizon = 40 * time.Second
+	// DemandDecay is the time constant of the smoothed demand that keeps
+	// machines through short lulls.
+	DemandDecay = 60 * time.Second
+	// NoticeSlack is added to a task's save time when a spot notice leaves
+	// only just enough.
+	NoticeSlack = 5 * time.Second
+)
+
+// Users and workers.
+const (
+	// SubmitWait bounds how long a submission or cancellation waits for the
+	// state service before 503 (users give up after 5 s).
+	SubmitWait = 2500 * time.Millisecond
+	// QueryWait bounds a forwarded query (users give up after 2 s).
+	QueryWait = 1500 * time.Millisecond
+	// ReportWait bounds a forwarded report (workers give up after 4 s).
+	ReportWait = 2500 * time.Millisecond
+	// RetryAfter is what refused users are told, in seconds.
+	RetryAfter = 1
+	// ActiveTasks bounds the unfinished tasks in memory (a few bytes each);
+	// beyond it submissions get 429.
+	ActiveTasks = 2_000_000
+	// AnswerCommands bounds the commands in one answer, which must stay on a
+	// line of 64 KiB.
+	AnswerCommands = 300
+	// SocketShare is the part of the socket limit given to user and worker
+	// connections.
+	SocketShare = 0.7
+	// IdleConnection closes connections unused for this long; workers report
+	// every few seconds and users poll about as often.
+	IdleConnection = 90 * time.Second
+	// ReadLimit bounds the time to read one request.
+	ReadLimit = 10 * time.Second
+	// WriteLimit bounds the time to write one answer.
+	WriteLimit = 5 * time.Second
+	// MemoryShare is the part of the memory limit at which the collector
+	// works harder.
+	MemoryShare = 0.6
+)
+
+// Peers.
+const (
+	// BeatEvery paces the beats between nodes.
+	BeatEvery = 400 * time.Millisecond
+	// PeerSilence is how long a silent peer still counts as reachable.
+	PeerSilence = 1500 * time.Millisecond
+	// PeerRedial paces dials.
+	PeerRedial = 300 * time.Millisecond
+	// PeerDialTimeout bounds a dial.
+	PeerDialTimeout = 1 * time.Second
+	// PeerCalls bounds the calls in flight on one link.
+	PeerCalls = 512
+	// PeerLine bounds a line between nodes: a body with its envelope.
+	PeerLine = 160 << 10
+	// HealthPatience is how long a node without a leader within reach still
+	// calls itself healthy, as a succession takes a few seconds and being
+	// marked unhealthy costs more.
+	HealthPatience = 8 * time.Second
+)
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,324 @@
+// Package wire holds the JSON messages of the protocol between switchshore,
+// its users, the workers, the cloud and the state service. The protocol's own
+// vocabulary stays in the field tags and string values of this package; Go
+// names are the usual ones (job, task, attempt, team, machine, term, image).
+// Clients may import it.
+package wire
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+)
+
+// Paths served to users and workers.
+const (
+	PathJobs   = "/api/jobs"
+	PathHealth = "/up"
+	PathReport = "/checkin"
+	EndCancel  = "abort"
+)
+
+// Paths served by workers.
+const (
+	PathCommands = "/commands"
+	PathShow     = "/show"
+)
+
+// MaxBody is the largest request body and response line, in bytes.
+const MaxBody = 64 << 10
+
+// Job states.
+const (
+	JobQueued    = "queued"
+	JobRunning   = "running"
+	JobDone      = "done"
+	JobCancelled = "aborted"
+)
+
+// Job kinds.
+const KindArray = "batch"
+
+// Priorities, highest first.
+const (
+	PriorityCritical = "critical"
+	PriorityHigh     = "high"
+	PriorityNormal   = "normal"
+	PriorityIdle     = "idle"
+)
+
+// PriorityLevels is the number of priorities.
+const PriorityLevels = 4
+
+// Level maps a priority to its rank, 0 being the highest, or -1 if unknown.
+func Level(priority string) int {
+	switch priority {
+	case PriorityCritical:
+		return 0
+	case PriorityHigh:
+		return 1
+	case PriorityNormal:
+		return 2
+	case PriorityIdle:
+		return 3
+	}
+	return -1
+}
+
+// Job is a submission.
+type Job struct {
+	ID          string   `json:"ref"`
+	Class       string   `json:"muster"`
+	Team        string   `json:"crew"`
+	Kind        string   `json:"rig"`
+	Priority    string   `json:"rank"`
+	Tasks       int      `json:"oars"`
+	CPUs        float64  `json:"cores"`
+	GPUs        float64  `json:"cards"`
+	MemoryGB    float64  `json:"memoryGb"`
+	Image       string   `json:"hull"`
+	ImageGB     float64  `json:"imageGb"`
+	Types       []string `json:"builds"`
+	Zone        string   `json:"berth,omitempty"`
+	OneZone     bool     `json:"together"`
+	Spread      bool     `json:"apart"`
+	Spot        bool     `json:"driftwood"`
+	EstimateS   float64  `json:"reckonS"`
+	CheckpointS float64  `json:"loglineS"`
+	SaveS       float64  `json:"stowS"`
+	DeadlineS   *float64 `json:"tideS,omitempty"`
+}
+
+// JobStatus answers submissions, queries and cancellations.
+type JobStatus struct {
+	ID      string `json:"ref"`
+	State   string `json:"bearing"`
+	Done    int    `json:"done"`
+	Running int    `json:"running"`
+}
+
+// Task states in reports.
+const (
+	TaskFetching = "fetching"
+	TaskRunning  = "running"
+	TaskSaving   = "saving"
+	TaskExited   = "exited"
+)
+
+// Reasons of an exit.
+const (
+	WhyDone    = "done"
+	WhyStopped = "halted"
+	WhyError   = "error"
+	WhyNoRoom  = "full"
+	WhyBusy    = "in_use"
+	WhyUnknown = "unknown"
+)
+
+// Report is what a worker sends.
+type Report struct {
+	Machine string       `json:"deck"`
+	Addr    string       `json:"endpoint"`
+	Type    string       `json:"build"`
+	Zone    string       `json:"berth"`
+	Spot    bool         `json:"driftwood"`
+	Session uint64       `json:"watch"`
+	Seq     uint64       `json:"knot"`
+	Token   uint64       `json:"helm"`
+	NoticeS *float64     `json:"recallS"`
+	Tasks   []TaskReport `json:"oars"`
+}
+
+// TaskReport is one task of a report.
+type TaskReport struct {
+	Task    string `json:"oar"`
+	Attempt uint64 `json:"launch"`
+	State   string `json:"bearing"`
+	Why     string `json:"wake,omitempty"`
+	Saved   bool   `json:"kept,omitempty"`
+}
+
+// Command operations.
+const (
+	OpStart  = "run"
+	OpStop   = "kill"
+	OpForget = "reap"
+)
+
+// Command is an order to a worker.
+type Command struct {
+	Op      string   `json:"call"`
+	Task    string   `json:"oar"`
+	Attempt uint64   `json:"launch"`
+	GraceS  *float64 `json:"slackS,omitempty"`
+}
+
+// ReportAnswer answers a report.
+type ReportAnswer struct {
+	Token    uint64    `json:"helm"`
+	Commands []Command `json:"orders"`
+}
+
+// CommandRequest is the body of a direct command.
+type CommandRequest struct {
+	Token    uint64    `json:"helm"`
+	Session  uint64    `json:"watch"`
+	Commands []Command `json:"orders"`
+}
+
+// Redirect names the node that a worker should report to.
+type Redirect struct {
+	ReportTo string `json:"harbormaster,omitempty"`
+}
+
+// Error is the body of refusals to users.
+type Error struct {
+	Error string `json:"error"`
+}
+
+// MachineType describes what the cloud rents.
+type MachineType struct {
+	Name        string   `json:"label"`
+	CPUs        float64  `json:"cores"`
+	GPUs        float64  `json:"cards"`
+	MemoryGB    float64  `json:"memoryGb"`
+	CacheGB     float64  `json:"localGb"`
+	FetchGBPerS float64  `json:"pullGbPerS"`
+	Price       float64  `json:"price"`
+	SpotPrice   float64  `json:"marketPrice"`
+	BootS       float64  `json:"readyS"`
+	Zones       []string `json:"berths"`
+}
+
+// MachineTypes is the cloud's catalogue.
+type MachineTypes struct {
+	Types []MachineType `json:"builds"`
+}
+
+// RentRequest asks for machines.
+type RentRequest struct {
+	Request string `json:"charter"`
+	Type    string `json:"build"`
+	Zone    string `json:"berth"`
+	Spot    bool   `json:"driftwood"`
+	Count   int    `json:"howMany"`
+}
+
+// MachineNames lists machines by name: the answer to a rental, the body of a release.
+type MachineNames struct {
+	Machines []string `json:"decks"`
+}
+
+// Machine states in the cloud's list.
+const (
+	MachineBooting = "starting"
+	MachineRunning = "running"
+	MachineFailed  = "failed"
+)
+
+// ListedMachine is a row of the cloud's list.
+type ListedMachine struct {
+	Name  string  `json:"ref"`
+	Addr  string  `json:"endpoint"`
+	Type  string  `json:"build"`
+	Zone  string  `json:"berth"`
+	Spot  bool    `json:"driftwood"`
+	State string  `json:"bearing"`
+	AgeS  float64 `json:"heldS"`
+}
+
+// MachineList is a page of the cloud's list.
+type MachineList struct {
+	Machines []ListedMachine `json:"decks"`
+	More     bool            `json:"hasNext"`
+}
+
+// Guard is a condition of a transaction.
+type Guard struct {
+	Key     string `json:"path"`
+	Version uint64 `json:"mark"`
+}
+
+// Write is a change of a transaction: a put or a delete.
+type Write struct {
+	Put    string          `json:"put,omitempty"`
+	Value  json.RawMessage `json:"v,omitempty"`
+	Lease  uint64          `json:"mooring,omitempty"`
+	Delete string          `json:"delete,omitempty"`
+}
+
+// Key returns the key that the write changes.
+func (w Write) Key() string {
+	if w.Delete != "" {
+		return w.Delete
+	}
+	return w.Put
+}
+
+// Txn is a transaction.
+type Txn struct {
+	If   []Guard `json:"guards"`
+	Then []Write `json:"writes"`
+}
+
+// TxnResult answers a transaction: Failed is set on 409.
+type TxnResult struct {
+	Revision uint64   `json:"logpage"`
+	Failed   []string `json:"failed"`
+}
+
+// Item is a stored key.
+type Item struct {
+	Key      string          `json:"path"`
+	Value    json.RawMessage `json:"v"`
+	Version  uint64          `json:"mark"`
+	Lease    uint64          `json:"mooring,omitempty"`
+	Revision uint64          `json:"logpage,omitempty"`
+}
+
+// Items is a page of keys.
+type Items struct {
+	Items    []Item `json:"rows"`
+	More     bool   `json:"hasNext"`
+	Revision uint64 `json:"logpage"`
+}
+
+// LeaseRequest asks for a lease.
+type LeaseRequest struct {
+	TTLMS int64 `json:"lifeMs"`
+}
+
+// LeaseAnswer names a lease.
+type LeaseAnswer struct {
+	Lease uint64 `json:"mooring"`
+}
+
+// Event is a change of a key.
+type Event struct {
+	Put     string          `json:"put,omitempty"`
+	Value   json.RawMessage `json:"v,omitempty"`
+	Version uint64          `json:"mark"`
+	Delete  string          `json:"delete,omitempty"`
+}
+
+// Changes answers a watch.
+type Changes struct {
+	Revision uint64  `json:"logpage"`
+	Events   []Event `json:"log"`
+}
+
+// TaskName joins a job id and a task index.
+func TaskName(job string, index int) string { return job + "/" + strconv.Itoa(index) }
+
+// SplitTask parses a task name.
+func SplitTask(name string) (job string, index int, ok bool) {
+	cut := strings.LastIndexByte(name, '/')
+	if cut <= 0 {
+		return "", 0, false
+	}
+	index, err := strconv.Atoi(name[cut+1:])
+	if err != nil || index < 0 {
+		return "", 0, false
+	}
+	return name[:cut], index, true
+}
