--- a/wire/wire.go
+++ b/wire/wire.go
@@ -36,8 +36,14 @@
 	JobCancelled = "aborted"
 )
 
-// Job kinds.
-const KindArray = "batch"
+// Job kinds. The protocol's page describes arrays; gangs (all tasks start
+// together) and services (run until cancelled) are met in the users' bench
+// and in DESIGN, see docs/questions.md.
+const (
+	KindArray   = "batch"
+	KindGang    = "gang"
+	KindService = "daemon"
+)
 
 // Priorities, highest first.
 const (
