--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -306,12 +306,8 @@
 		return "unknown team"
 	}
 	need := sched.Resources{CPUs: spec.CPUs, GPUs: spec.GPUs}
-	once := need
-	if spec.Kind == wire.KindGang {
-		once = sched.Resources{}.Add(need, float64(spec.Tasks))
-	}
-	if !(sched.Resources{CPUs: t.CPUsMax, GPUs: t.GPUsMax}).Fits(once) {
-		return "the job needs more than the team's limit"
+	if !(sched.Resources{CPUs: t.CPUsMax, GPUs: t.GPUsMax}).Fits(need) {
+		return "a task needs more than the team's limit"
 	}
 	need.MemoryGB = spec.MemoryGB
 	probe := sched.Ready{Types: spec.Types, Zone: spec.Zone, Spot: true, Need: need, Total: spec.Tasks}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -100,13 +100,7 @@
 			Types: j.Types, Zone: j.Zone, OneZone: j.OneZone, Spread: j.Spread,
 			Spot: j.Spot, Total: j.Tasks, InZone: map[string]int{},
 		}
-		if j.Kind == wire.KindGang {
-			r.Gang = true
-			if j.held > 0 {
-				// The rest of the gang has to end before all start again.
-				continue
-			}
-		} else if j.failures > 0 {
+		if j.failures > 0 {
 			// A job whose tasks fail tries one at a time.
 			r.Tasks = 1
 		}
@@ -355,7 +349,7 @@
 		}
 		in.Demand = append(in.Demand, provision.Demand{
 			Tasks: n, Limit: n, Need: j.need, EstimateS: r.EstimateS,
-			Types: j.Types, Zone: j.Zone, Spot: j.Spot, AtOnce: j.Kind != wire.KindArray,
+			Types: j.Types, Zone: j.Zone, Spot: j.Spot,
 		})
 	}
 	c.smooth(now, busy)
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -29,9 +29,8 @@
 	Spot      bool
 	// Limit is how many of the tasks the team's limit lets run at once.
 	Limit int
-	// AtOnce: the tasks run side by side for the whole horizon (gangs and
-	// services), so each needs a place of its own.
-	AtOnce bool
+	// HorizonS overrides the planning horizon for pressing work, 0 for none.
+	HorizonS float64
 }
 
 // Machine is a machine as the planner sees it.
@@ -102,9 +101,6 @@
 	for _, d := range in.Demand {
 		tasks := min(d.Tasks, d.Limit)
 		each := max(d.EstimateS, tuning.MinimumEstimate) * d.Need.CPUs
-		if d.AtOnce {
-			each = in.HorizonS * d.Need.CPUs
-		}
 		for i := range bins {
 			b := &bins[i]
 			if tasks == 0 {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -81,8 +81,6 @@
 	OneZone   bool
 	Spread    bool
 	Spot      bool
-	// Gang: all tasks are placed in one pass or none is.
-	Gang bool
 	// Total is the number of tasks of the job, for Spread.
 	Total int
 	// InZone counts the job's tasks that may be on machines, by zone.
@@ -277,25 +275,6 @@
 		if next == nil {
 			return starts
 		}
-		if next.Gang {
-			gang, ok := placeGang(next, machines, teams[next.Team])
-			next.closed = true
-			if !ok {
-				// A waiting gang holds back lower priorities on all machines
-				// that it could use, or it would never find room.
-				for _, m := range machines {
-					if m.queuedLevel < 0 && next.Allowed(m) {
-						m.queuedLevel = next.Level
-					}
-				}
-				continue
-			}
-			starts = append(starts, gang...)
-			for _, r := range jobs {
-				r.pick(machines)
-			}
-			continue
-		}
 		m := next.best
 		fetch := m.fetch(next.Image, next.ImageGB)
 		next.Tasks--
@@ -306,7 +285,12 @@
 		if next.wait == 0 {
 			starts = append(starts, Start{Job: next.Job, Machine: m.ID})
 			m.Images[next.Image] = fetch
-			next.count(m, teams[next.Team], 1)
+			if next.InZone == nil {
+				next.InZone = map[string]int{}
+			}
+			next.InZone[m.Zone]++
+			team := teams[next.Team]
+			team.Used = team.Used.Add(next.Need, 1)
 		} else if m.queuedLevel < 0 {
 			m.queuedLevel = next.Level
 		}
@@ -326,48 +310,6 @@
 	return starts
 }
 
-// count counts a start of the job for team and zone.
-func (r *Ready) count(m *Machine, team *Team, n int) {
-	if r.InZone == nil {
-		r.InZone = map[string]int{}
-	}
-	r.InZone[m.Zone] += n
-	team.Used = team.Used.Add(r.Need, float64(n))
-}
-
-// placeGang finds room for all tasks of a gang now, or changes nothing.
-func placeGang(r *Ready, machines []*Machine, team *Team) ([]Start, bool) {
-	var starts []Start
-	var used []*Machine
-	for r.Tasks > len(starts) {
-		r.pick(machines)
-		m := r.best
-		if m == nil || r.wait > 0 || !team.Max.Fits(team.Used.Add(r.Need, 1)) {
-			for _, m := range used {
-				m.Free = m.Free.Add(r.Need, 1)
-				r.count(m, team, -1)
-				m.tasks--
-			}
-			return nil, false
-		}
-		m.Free = m.Free.Add(r.Need, -1)
-		m.tasks++
-		r.count(m, team, 1)
-		used = append(used, m)
-		starts = append(starts, Start{Job: r.Job, Machine: m.ID})
-	}
-	for _, m := range used {
-		fetch := m.fetch(r.Image, r.ImageGB)
-		if m.Images == nil {
-			m.Images = map[string]float64{}
-		}
-		m.Images[r.Image] = fetch
-		m.addLoad(Load{Need: r.Need, RemainingS: fetch + r.EstimateS})
-	}
-	r.Tasks = 0
-	return starts, true
-}
-
 // anyRoom reports whether some machine could start a task of the jobs now;
 // without one, nothing is queued: the paper waits for an idle machine, so as
 // not to become a static schedule.
--- a/wire/validate.go
+++ b/wire/validate.go
@@ -119,7 +119,7 @@
 	} else if j.Tasks = *f.Tasks; j.Tasks < 1 || j.Tasks > MaxTasks {
 		fail("oars", "out of range")
 	}
-	if j.Kind != KindArray && j.Kind != KindGang && j.Kind != KindService {
+	if j.Kind != KindArray {
 		fail("rig", "unknown")
 	}
 	if Level(j.Priority) < 0 {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -36,14 +36,8 @@
 	JobCancelled = "aborted"
 )
 
-// Job kinds. The protocol's page describes arrays; gangs (all tasks start
-// together) and services (run until cancelled) are met in the users' bench
-// and in DESIGN, see docs/questions.md.
-const (
-	KindArray   = "batch"
-	KindGang    = "gang"
-	KindService = "daemon"
-)
+// Job kinds.
+const KindArray = "batch"
 
 // Priorities, highest first.
 const (
