--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -39,15 +39,22 @@
 	lost  atomic.Bool
 }
 
-// NewLeadership returns a term that is confirmed until the given time; tests
-// build their own.
-func NewLeadership(term uint64, until time.Time) *Leadership {
+// NewLeadership returns a term confirmed by a renewal sent at the given time.
+func NewLeadership(term uint64, sent time.Time) *Leadership {
 	l := &Leadership{Term: term}
-	l.extend(until)
+	l.Confirm(sent)
 	return l
 }
 
-func (l *Leadership) extend(until time.Time) { l.until.Store(&until) }
+// Confirm extends the authority by a renewal that was sent at the given time
+// and has succeeded.
+func (l *Leadership) Confirm(sent time.Time) {
+	until := authorityFrom(sent)
+	l.until.Store(&until)
+}
+
+// End ends the authority for good.
+func (l *Leadership) End() { l.lost.Store(true) }
 
 // Authority reports whether this node certainly is the leader at now.
 func (l *Leadership) Authority(now time.Time) bool {
@@ -68,6 +75,20 @@
 	return sent.Add(life - tuning.AuthorityMargin)
 }
 
+// CampaignTxn takes the leader key on a lease and raises the term, if both
+// keys still have the versions read.
+func CampaignTxn(rec LeaderRecord, term, lease, leaderVersion, termVersion uint64) wire.Txn {
+	leaderValue, _ := json.Marshal(rec)
+	termValue, _ := json.Marshal(store.TermRecord{Term: term})
+	return wire.Txn{
+		If: []wire.Guard{{Key: store.KeyLeader, Version: leaderVersion}, {Key: store.KeyTerm, Version: termVersion}},
+		Then: []wire.Write{
+			{Put: store.KeyLeader, Value: leaderValue, Lease: lease},
+			{Put: store.KeyTerm, Value: termValue},
+		},
+	}
+}
+
 // Election campaigns for one node.
 type Election struct {
 	Store store.API
@@ -139,21 +160,8 @@
 	}
 	e.nonce++
 	l := &Leadership{Term: term.Term + 1, lease: lease}
-	leaderValue, err := json.Marshal(LeaderRecord{Node: e.Node, Nonce: e.nonce})
-	if err != nil {
-		return nil, err
-	}
-	termValue, err := json.Marshal(store.TermRecord{Term: l.Term})
-	if err != nil {
-		return nil, err
-	}
-	res, err := e.Store.Commit(ctx, wire.Txn{
-		If: []wire.Guard{{Key: store.KeyLeader, Version: leaderVersion}, {Key: store.KeyTerm, Version: item.Version}},
-		Then: []wire.Write{
-			{Put: store.KeyLeader, Value: leaderValue, Lease: lease},
-			{Put: store.KeyTerm, Value: termValue},
-		},
-	})
+	rec := LeaderRecord{Node: e.Node, Nonce: e.nonce}
+	res, err := e.Store.Commit(ctx, CampaignTxn(rec, l.Term, lease, leaderVersion, item.Version))
 	switch {
 	case err == nil:
 		l.LeaderVersion, l.TermVersion = res.Revision, res.Revision
@@ -180,7 +188,7 @@
 		return nil, err
 	}
 	l.WonAt = time.Now()
-	l.extend(authorityFrom(sent))
+	l.Confirm(sent)
 	return l, nil
 }
 
@@ -201,17 +209,17 @@
 		err := e.Store.Renew(ctx, l.lease)
 		switch {
 		case err == nil:
-			l.extend(authorityFrom(sent))
+			l.Confirm(sent)
 			_ = store.Pause(ctx, tuning.RenewEvery)
 		case errors.Is(err, store.ErrNotFound):
 			e.Log.Info().Uint64("term", l.Term).Msg("lease lost")
-			l.lost.Store(true)
+			l.End()
 			cancel()
 		default:
 			_ = store.Pause(ctx, tuning.StoreRetry)
 		}
 	}
-	l.lost.Store(true)
+	l.End()
 	cancel()
 	<-done
 	// A term that ended by itself frees the key for the others; failing that,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -277,7 +277,7 @@
 
 // writeLoop commits the picture's changes, one batch after the other.
 func (n *Node) writeLoop(ctx context.Context, p *controller.Controller, l *election.Leadership) error {
-	w := store.NewWriter(n.store, l.Term, l.LeaderVersion, l.TermVersion)
+	w := store.NewWriter(l.Term, l.LeaderVersion, l.TermVersion)
 	for {
 		n.mu.Lock()
 		b := p.NextBatch(n.store.MaxOps())
@@ -293,7 +293,7 @@
 			}
 			continue
 		}
-		if err := w.Commit(ctx, b.Writes); err != nil {
+		if err := w.Commit(ctx, n.store, b.Writes); err != nil {
 			return err
 		}
 		n.mu.Lock()
--- /dev/null
+++ b/internal/standin/rules.go
@@ -0,0 +1,167 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/wire"
+)
+
+// Rules checks the protocol's rules after every step.
+type Rules struct {
+	Teams  []config.Team
+	Cancel time.Duration
+
+	jobs    map[string]*jobTruth
+	on      map[string]string // task -> machine, while it is on it
+	started int
+}
+
+type jobTruth struct {
+	job         *wire.Job
+	accepted    bool
+	askedCancel bool
+	cancelledAt time.Time // when its user was told
+	done        bool      // its user was told
+	finished    map[string]bool
+	toldAt      time.Time
+}
+
+// NewRules returns a checker.
+func NewRules(teams []config.Team, cancel time.Duration) *Rules {
+	return &Rules{Teams: teams, Cancel: cancel, jobs: map[string]*jobTruth{}, on: map[string]string{}}
+}
+
+// Submitted notes that a user submits a job.
+func (r *Rules) Submitted(j *wire.Job) {
+	if r.jobs[j.ID] == nil {
+		r.jobs[j.ID] = &jobTruth{job: j, finished: map[string]bool{}}
+	}
+}
+
+// AskedCancel notes that a user asks for a job's cancellation.
+func (r *Rules) AskedCancel(id string) { r.jobs[id].askedCancel = true }
+
+// Told checks what a user is told of a job in answer to a request sent at
+// the given time; answers that crossed a newer one say nothing.
+func (r *Rules) Told(now, sent time.Time, id string, status int, state string, submission bool) error {
+	t := r.jobs[id]
+	if t != nil {
+		if sent.Before(t.toldAt) {
+			return nil
+		}
+		defer func() { t.toldAt = now }()
+	}
+	if t == nil {
+		if status/100 == 2 {
+			return fmt.Errorf("invented: %s answered %d", id, status)
+		}
+		return nil
+	}
+	if t.accepted && (status == 404 || submission && (status == 400 || status == 422)) {
+		return fmt.Errorf("forgotten: %s answered %d", id, status)
+	}
+	if status/100 != 2 {
+		return nil
+	}
+	t.accepted = true
+	switch {
+	case t.done && state != wire.JobDone, !t.cancelledAt.IsZero() && state != wire.JobCancelled:
+		return fmt.Errorf("went_back: %s is called %s", id, state)
+	case state == wire.JobCancelled && !t.askedCancel:
+		return fmt.Errorf("went_back: %s is called cancelled, and its user did not cancel it", id)
+	case state == wire.JobCancelled && t.cancelledAt.IsZero():
+		t.cancelledAt = now
+	case state == wire.JobDone:
+		if len(t.finished) != t.job.Tasks {
+			return fmt.Errorf("not_done: %s is called done with %d of %d tasks", id, len(t.finished), t.job.Tasks)
+		}
+		t.done = true
+	}
+	return nil
+}
+
+// Check compares the tasks on all machines with the step before.
+func (r *Rules) Check(now time.Time, workers []*Worker) error {
+	on := map[string]string{}
+	for _, w := range workers {
+		if now.After(w.LeaseEnd) {
+			// A hanging machine whose lease has run out kills all it holds
+			// before it does anything else.
+			continue
+		}
+		for _, t := range w.sorted() {
+			if t.State == wire.TaskExited && t.Why == wire.WhyDone {
+				id, _, _ := wire.SplitTask(t.Name)
+				r.jobs[id].finished[t.Name] = true
+			}
+			if !t.On() {
+				continue
+			}
+			if other, twice := on[t.Name]; twice {
+				return fmt.Errorf("ran_twice: %s on %s and %s", t.Name, other, w.ID)
+			}
+			on[t.Name] = w.ID
+		}
+	}
+	used := map[string]float64{}
+	zones := map[string]map[string]int{}
+	byID := map[string]*Worker{}
+	for _, w := range workers {
+		byID[w.ID] = w
+	}
+	for task, machine := range on {
+		id, _, _ := wire.SplitTask(task)
+		t := r.jobs[id]
+		used[t.job.Team] += t.job.CPUs
+		if zones[id] == nil {
+			zones[id] = map[string]int{}
+		}
+		zones[id][byID[machine].Offer.Zone]++
+		if !t.cancelledAt.IsZero() && now.Sub(t.cancelledAt) > r.Cancel {
+			return fmt.Errorf("ran_cancelled: %s on %s", task, machine)
+		}
+	}
+	for _, team := range r.Teams {
+		if used[team.Name] > team.CPUsMax+1e-6 {
+			return fmt.Errorf("quota: %s uses %v of %v", team.Name, used[team.Name], team.CPUsMax)
+		}
+	}
+	for task, machine := range on {
+		if r.on[task] == machine {
+			continue
+		}
+		r.started++
+		id, _, _ := wire.SplitTask(task)
+		j, w := r.jobs[id].job, byID[machine]
+		count := zones[id]
+		switch {
+		case w.Offer.Spot && !j.Spot, j.Zone != "" && j.Zone != w.Offer.Zone,
+			len(j.Types) > 0 && !slices.Contains(j.Types, w.Offer.Type):
+			return fmt.Errorf("wrong_place: %s on %s", task, machine)
+		case j.OneZone && len(count) > 1:
+			return fmt.Errorf("wrong_place: %s, a job for one zone, in %v", task, count)
+		case j.Spread && count[w.Offer.Zone] > (j.Tasks+1)/2:
+			return fmt.Errorf("wrong_place: %s, a job to be spread, in %v", task, count)
+		}
+	}
+	r.on = on
+	return nil
+}
+
+// Unfinished lists accepted jobs that were neither cancelled nor completed.
+func (r *Rules) Unfinished() []string {
+	var out []string
+	for id, t := range r.jobs {
+		if t.accepted && !t.askedCancel && !t.done {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Started is the number of starts seen.
+func (r *Rules) Started() int { return r.started }
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,145 @@
+// Package standin holds stand-ins for the state service, the cloud and the
+// workers, written after the protocol, a checker of its rules, and a seeded
+// world that plays them against controllers in simulated time. Tests use it.
+package standin
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"switchshore.example/switchshore/internal/store"
+	"switchshore.example/switchshore/wire"
+)
+
+type entry struct {
+	item  wire.Item
+	lease uint64
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// State is the state service.
+type State struct {
+	Down     bool
+	keys     map[string]*entry
+	leases   map[uint64]*lease
+	revision uint64
+	nextID   uint64
+}
+
+// NewState returns an empty state service.
+func NewState() *State {
+	return &State{keys: map[string]*entry{}, leases: map[uint64]*lease{}, revision: 1}
+}
+
+// Advance ends leases that have run out; during an outage none does, and
+// after it each has its full time again.
+func (s *State) Advance(now time.Time) {
+	for id, l := range s.leases {
+		if s.Down {
+			l.end = now.Add(l.ttl)
+		} else if !now.Before(l.end) {
+			s.revoke(id)
+		}
+	}
+}
+
+func (s *State) revoke(id uint64) {
+	delete(s.leases, id)
+	for k, e := range s.keys {
+		if e.lease == id {
+			s.revision++
+			delete(s.keys, k)
+		}
+	}
+}
+
+// Get reads a key.
+func (s *State) Get(key string) (wire.Item, error) {
+	if s.Down {
+		return wire.Item{}, store.ErrRefused
+	}
+	e := s.keys[key]
+	if e == nil {
+		return wire.Item{Revision: s.revision}, store.ErrNotFound
+	}
+	return e.item, nil
+}
+
+// List reads the keys with a prefix.
+func (s *State) List(prefix string) ([]wire.Item, error) {
+	if s.Down {
+		return nil, store.ErrRefused
+	}
+	var items []wire.Item
+	for k, e := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			items = append(items, e.item)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	return items, nil
+}
+
+// Commit runs a transaction.
+func (s *State) Commit(txn wire.Txn) (wire.TxnResult, error) {
+	if s.Down {
+		return wire.TxnResult{}, store.ErrRefused
+	}
+	res := wire.TxnResult{}
+	for _, g := range txn.If {
+		var version uint64
+		if e := s.keys[g.Key]; e != nil {
+			version = e.item.Version
+		}
+		if version != g.Version {
+			res.Failed = append(res.Failed, g.Key)
+		}
+	}
+	for _, w := range txn.Then {
+		if w.Lease != 0 && s.leases[w.Lease] == nil {
+			return res, store.ErrMalformed
+		}
+	}
+	if len(res.Failed) > 0 {
+		res.Revision = s.revision
+		return res, store.ErrConflict
+	}
+	s.revision++
+	for _, w := range txn.Then {
+		if w.Delete != "" {
+			delete(s.keys, w.Delete)
+			continue
+		}
+		s.keys[w.Put] = &entry{wire.Item{Key: w.Put, Value: w.Value, Version: s.revision}, w.Lease}
+	}
+	res.Revision = s.revision
+	return res, nil
+}
+
+// Grant gives a lease.
+func (s *State) Grant(now time.Time, ttl time.Duration) (uint64, error) {
+	if s.Down {
+		return 0, store.ErrRefused
+	}
+	s.nextID++
+	s.leases[s.nextID] = &lease{ttl, now.Add(ttl)}
+	return s.nextID, nil
+}
+
+// Renew renews a lease.
+func (s *State) Renew(now time.Time, id uint64) error {
+	if s.Down {
+		return store.ErrRefused
+	}
+	l := s.leases[id]
+	if l == nil {
+		return store.ErrNotFound
+	}
+	l.end = now.Add(l.ttl)
+	return nil
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,293 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strconv"
+	"time"
+
+	"switchshore.example/switchshore/wire"
+)
+
+// Task is a task on a worker.
+type Task struct {
+	Name    string
+	Attempt uint64
+	State   string
+	Why     string
+	Saved   bool
+	At      time.Time // when the present state ends
+}
+
+// On reports whether the task is on its machine in the sense of the rules.
+func (t *Task) On() bool { return t.State == wire.TaskRunning || t.State == wire.TaskSaving }
+
+// Worker is one machine with its worker.
+type Worker struct {
+	ID      string
+	Offer   wire.ListedMachine
+	Type    wire.MachineType
+	Jobs    func(id string) *wire.Job // what users uploaded
+	RunTime func(*wire.Job) time.Duration
+	Faulty  bool
+	Lease   time.Duration
+
+	Session  uint64
+	Seq      uint64
+	Token    uint64
+	LeaseEnd time.Time
+	Notice   *float64
+	Tasks    map[string]*Task
+	Results  map[string]bool // completed tasks whose result is kept
+	Cache    map[string]bool
+	Changed  bool
+}
+
+// NewWorker returns a worker that has just come up.
+func NewWorker(now time.Time, row wire.ListedMachine, t wire.MachineType, lease time.Duration) *Worker {
+	return &Worker{
+		ID: row.Name, Offer: row, Type: t, Lease: lease, Session: 1, LeaseEnd: now.Add(lease),
+		Tasks: map[string]*Task{}, Results: map[string]bool{}, Cache: map[string]bool{},
+	}
+}
+
+// key keeps several attempts of one task apart: exited ones stay listed.
+func key(name string, attempt uint64) string {
+	return name + "#" + strconv.FormatUint(attempt, 10)
+}
+
+func (w *Worker) sorted() []*Task {
+	var ts []*Task
+	for _, t := range w.Tasks {
+		ts = append(ts, t)
+	}
+	sort.Slice(ts, func(i, j int) bool {
+		if ts[i].Name != ts[j].Name {
+			return ts[i].Name < ts[j].Name
+		}
+		return ts[i].Attempt < ts[j].Attempt
+	})
+	return ts
+}
+
+// Advance lets time pass: fetches, runs and saves end, the lease may run out.
+func (w *Worker) Advance(now time.Time) {
+	if now.After(w.LeaseEnd) {
+		w.Session++
+		w.Tasks = map[string]*Task{}
+		w.LeaseEnd = now.Add(w.Lease)
+		w.Changed = true
+	}
+	for _, t := range w.sorted() {
+		if t.State == wire.TaskExited || now.Before(t.At) {
+			continue
+		}
+		job := w.jobOf(t.Name)
+		w.Changed = true
+		switch t.State {
+		case wire.TaskFetching:
+			w.Cache[job.Image] = true
+			switch {
+			case w.Results[t.Name]:
+				t.State, t.Why = wire.TaskExited, wire.WhyDone
+			case w.Faulty:
+				t.State, t.Why = wire.TaskExited, wire.WhyError
+			default:
+				t.State, t.At = wire.TaskRunning, now.Add(w.RunTime(job))
+			}
+		case wire.TaskRunning:
+			t.State, t.Why = wire.TaskExited, wire.WhyDone
+			w.Results[t.Name] = true
+		case wire.TaskSaving:
+			t.State, t.Why, t.Saved = wire.TaskExited, wire.WhyStopped, true
+		}
+	}
+}
+
+func (w *Worker) jobOf(task string) *wire.Job {
+	id, _, _ := wire.SplitTask(task)
+	return w.Jobs(id)
+}
+
+// Report is the worker's next report.
+func (w *Worker) Report() *wire.Report {
+	w.Seq++
+	w.Changed = false
+	r := &wire.Report{
+		Machine: w.ID, Addr: w.Offer.Addr, Type: w.Offer.Type, Zone: w.Offer.Zone, Spot: w.Offer.Spot,
+		Session: w.Session, Seq: w.Seq, Token: w.Token, NoticeS: w.Notice, Tasks: []wire.TaskReport{},
+	}
+	for _, t := range w.sorted() {
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.Name, Attempt: t.Attempt, State: t.State, Why: t.Why, Saved: t.Saved})
+	}
+	return r
+}
+
+// Answer takes in the answer to a report of the given session sent at sent.
+func (w *Worker) Answer(now, sent time.Time, session uint64, a wire.ReportAnswer) {
+	if session != w.Session || a.Token < w.Token {
+		return
+	}
+	if a.Token > w.Token {
+		w.Token = a.Token
+		w.Changed = true
+	}
+	if end := sent.Add(w.Lease); end.After(w.LeaseEnd) {
+		w.LeaseEnd = end
+	}
+	w.Execute(now, a.Commands)
+}
+
+// Execute runs commands in order.
+func (w *Worker) Execute(now time.Time, commands []wire.Command) {
+	for _, c := range commands {
+		k := key(c.Task, c.Attempt)
+		t := w.Tasks[k]
+		switch c.Op {
+		case wire.OpStart:
+			if t == nil {
+				w.Tasks[k] = w.start(now, c)
+				w.Changed = true
+			}
+		case wire.OpStop:
+			if t == nil || t.State == wire.TaskExited {
+				continue
+			}
+			w.Changed = true
+			job := w.jobOf(c.Task)
+			grace := 0.0
+			if c.GraceS != nil {
+				grace = *c.GraceS
+			}
+			if t.State == wire.TaskRunning && job.CheckpointS > 0 && grace >= job.SaveS {
+				t.State, t.At = wire.TaskSaving, now.Add(time.Duration(job.SaveS*float64(time.Second)))
+			} else if t.State != wire.TaskSaving || grace == 0 {
+				t.State, t.Why = wire.TaskExited, wire.WhyStopped
+			}
+		case wire.OpForget:
+			if t != nil && t.State == wire.TaskExited {
+				delete(w.Tasks, k)
+				w.Changed = true
+			}
+		}
+	}
+}
+
+func (w *Worker) start(now time.Time, c wire.Command) *Task {
+	t := &Task{Name: c.Task, Attempt: c.Attempt, State: wire.TaskExited}
+	job := w.jobOf(c.Task)
+	if job == nil {
+		t.Why = wire.WhyUnknown
+		return t
+	}
+	cpus, memory := job.CPUs, job.MemoryGB
+	for _, o := range w.Tasks {
+		if o.State == wire.TaskExited {
+			continue
+		}
+		if o.Name == c.Task {
+			t.Why = wire.WhyBusy
+			return t
+		}
+		other := w.jobOf(o.Name)
+		cpus += other.CPUs
+		memory += other.MemoryGB
+	}
+	if cpus > w.Type.CPUs+1e-6 || memory > w.Type.MemoryGB+1e-6 {
+		t.Why = wire.WhyNoRoom
+		return t
+	}
+	t.State, t.At = wire.TaskFetching, now
+	if !w.Cache[job.Image] {
+		t.At = now.Add(time.Duration(job.ImageGB / w.Type.FetchGBPerS * float64(time.Second)))
+	}
+	return t
+}
+
+// Cloud is the cloud.
+type Cloud struct {
+	Type     wire.MachineType
+	Capacity int // machines an offer can hold at once
+	Down     bool
+
+	rows    map[string]*cloudRow
+	answers map[string][]string
+	next    int
+}
+
+type cloudRow struct {
+	wire.ListedMachine
+	born time.Time
+	up   time.Time
+}
+
+// NewCloud returns a cloud with one machine type.
+func NewCloud(t wire.MachineType, capacity int) *Cloud {
+	return &Cloud{Type: t, Capacity: capacity, rows: map[string]*cloudRow{}, answers: map[string][]string{}}
+}
+
+// Rent carries a rental out; nil means no capacity.
+func (c *Cloud) Rent(now time.Time, rng *rand.Rand, r wire.RentRequest) []string {
+	if names, ok := c.answers[r.Request]; ok {
+		return names
+	}
+	used := 0
+	for _, row := range c.rows {
+		if row.Zone == r.Zone && row.Spot == r.Spot {
+			used++
+		}
+	}
+	n := min(r.Count, c.Capacity-used)
+	if n <= 0 || c.Down {
+		return nil
+	}
+	var names []string
+	for range n {
+		id := "i-" + pad(c.next)
+		c.next++
+		boot := time.Duration(c.Type.BootS * (0.6 + 0.9*rng.Float64()) * float64(time.Second))
+		if rng.IntN(20) == 0 {
+			boot = 1000 * time.Hour
+		}
+		c.rows[id] = &cloudRow{wire.ListedMachine{
+			Name: id, Addr: id, Type: r.Type, Zone: r.Zone, Spot: r.Spot, State: wire.MachineBooting,
+		}, now, now.Add(boot)}
+		names = append(names, id)
+	}
+	c.answers[r.Request] = names
+	return names
+}
+
+func pad(n int) string {
+	s := []byte("000000")
+	for i := len(s) - 1; n > 0; i-- {
+		s[i] = byte('0' + n%10)
+		n /= 10
+	}
+	return string(s)
+}
+
+// Names lists the machines in order.
+func (c *Cloud) Names() []string {
+	var names []string
+	for id := range c.rows {
+		names = append(names, id)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// List is the machine list as it stood some time ago.
+func (c *Cloud) List(now time.Time, lag time.Duration) []wire.ListedMachine {
+	var out []wire.ListedMachine
+	for _, id := range c.Names() {
+		row := c.rows[id]
+		if age := now.Add(-lag).Sub(row.born); age >= 0 {
+			r := row.ListedMachine
+			r.AgeS = age.Seconds()
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,730 @@
+package standin
+
+import (
+	"container/heap"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/controller"
+	"switchshore.example/switchshore/internal/election"
+	"switchshore.example/switchshore/internal/httpc"
+	"switchshore.example/switchshore/internal/store"
+	"switchshore.example/switchshore/internal/tuning"
+	"switchshore.example/switchshore/wire"
+)
+
+// World plays users, workers, cloud and state service against a few
+// controllers in simulated time, with troubles drawn from a seed.
+type World struct {
+	Rules  *Rules
+	State  *State
+	Cloud  *Cloud
+	Params config.Params
+	// Trouble is how rough the day is, 0 for none.
+	Trouble float64
+	// Tamper, if set, changes a controller's answer to a worker on its way;
+	// tests use it to break a safeguard.
+	Tamper func(*wire.ReportAnswer)
+
+	rng     *rand.Rand
+	now     time.Time
+	start   time.Time
+	queue   events
+	seq     int
+	nodes   []*node
+	workers map[string]*worker
+	jobs    map[string]*wire.Job
+	err     error
+	split   map[[2]int]bool // pairs of nodes that can't reach each other
+	calm    time.Time       // no new trouble after
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []*event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(*event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// node is a controller process: the same steps as the real one takes, driven
+// by events.
+type node struct {
+	id       int
+	name     string
+	drift    float64
+	life     int // raised by every crash; what belongs to an earlier one is void
+	up       bool
+	nonce    uint64
+	picture  *controller.Controller
+	term     *election.Leadership
+	lease    uint64
+	writer   *store.Writer
+	batch    *controller.Batch
+	cutState time.Time // no way to the state service until then
+}
+
+type worker struct {
+	*Worker
+	target   int
+	inFlight bool
+	lastSent time.Time
+	nextAt   time.Time
+	cutUntil time.Time
+	hung     time.Time
+	gone     bool
+}
+
+// NewWorld returns a world with the given number of controllers.
+func NewWorld(seed uint64, nodes int, p config.Params, t wire.MachineType) *World {
+	start := time.Unix(1_700_000_000, 0)
+	w := &World{
+		Rules:   NewRules(p.Teams, time.Duration(p.Workers.CancelS*float64(time.Second))),
+		State:   NewState(),
+		Cloud:   NewCloud(t, 4),
+		Params:  p,
+		rng:     rand.New(rand.NewPCG(seed, 1)),
+		now:     start,
+		start:   start,
+		workers: map[string]*worker{},
+		jobs:    map[string]*wire.Job{},
+		split:   map[[2]int]bool{},
+	}
+	for i := range nodes {
+		n := &node{id: i, name: fmt.Sprintf("node-%d", i), up: true, drift: (w.rng.Float64() - 0.5) * 0.001}
+		w.nodes = append(w.nodes, n)
+		w.after(w.between(0, 100), func() { w.nodeStep(n, n.life) })
+	}
+	return w
+}
+
+func (w *World) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, &event{w.now.Add(d), w.seq, do})
+}
+
+// between draws a duration in milliseconds.
+func (w *World) between(from, to int) time.Duration {
+	return time.Duration(from+w.rng.IntN(to-from+1)) * time.Millisecond
+}
+
+func (w *World) chance(p float64) bool { return w.rng.Float64() < p }
+
+// clock is the node's steady clock.
+func (w *World) clock(n *node) time.Time {
+	passed := w.now.Sub(w.start)
+	return w.start.Add(passed + time.Duration(float64(passed)*n.drift))
+}
+
+// Run plays for d; the first broken rule ends it. After calm no new trouble
+// begins.
+func (w *World) Run(d, calm time.Duration) error {
+	w.calm = w.start.Add(calm)
+	end := w.start.Add(d)
+	for w.queue.Len() > 0 && w.err == nil {
+		e := heap.Pop(&w.queue).(*event)
+		if e.at.After(end) {
+			break
+		}
+		w.now = e.at
+		w.State.Advance(w.now)
+		var ws []*Worker
+		for _, id := range w.names() {
+			m := w.workers[id]
+			if w.now.After(m.hung) {
+				m.Advance(w.now)
+			}
+			ws = append(ws, m.Worker)
+		}
+		e.do()
+		if w.err == nil {
+			w.err = w.Rules.Check(w.now, ws)
+		}
+	}
+	if w.err != nil {
+		return fmt.Errorf("after %v: %w", w.now.Sub(w.start), w.err)
+	}
+	return nil
+}
+
+func (w *World) names() []string {
+	var out []string
+	for _, id := range w.Cloud.Names() {
+		if w.workers[id] != nil {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// The state service, seen from a node: requests may be lost, be late by
+// minutes, or be carried out and their answer lost.
+
+func (w *World) toState(n *node, do func() error, done func(err error)) {
+	life := n.life
+	back := func(err error) {
+		w.after(w.between(1, 20), func() {
+			if n.up && n.life == life {
+				done(err)
+			}
+		})
+	}
+	if w.now.Before(n.cutState) {
+		if w.chance(0.5) {
+			// Held back and delivered when the cut ends, or a good while later.
+			w.after(n.cutState.Sub(w.now)+w.between(0, 60_000), func() { _ = do() })
+		}
+		w.after(tuning.StoreTimeout, func() {
+			if n.up && n.life == life {
+				done(httpc.ErrNoAnswer)
+			}
+		})
+		return
+	}
+	lost := w.troubled() && w.chance(0.02)
+	w.after(w.between(1, 10), func() {
+		err := do()
+		if lost {
+			w.after(tuning.StoreTimeout, func() {
+				if n.up && n.life == life {
+					done(httpc.ErrNoAnswer)
+				}
+			})
+			return
+		}
+		back(err)
+	})
+}
+
+func (w *World) troubled() bool { return w.Trouble > 0 && w.now.Before(w.calm) }
+
+// nodeStep campaigns or renews.
+func (w *World) nodeStep(n *node, life int) {
+	if !n.up || n.life != life {
+		return
+	}
+	again := func(d time.Duration) { w.after(d, func() { w.nodeStep(n, life) }) }
+	if n.term != nil {
+		sent := w.clock(n)
+		lease := n.lease
+		w.toState(n, func() error { return w.State.Renew(w.now, lease) }, func(err error) {
+			switch {
+			case n.term == nil:
+			case err == nil:
+				n.term.Confirm(sent)
+			case errors.Is(err, store.ErrNotFound):
+				w.depose(n)
+			}
+			again(tuning.RenewEvery)
+		})
+		return
+	}
+	var leader, term wire.Item
+	var leaderErr, termErr error
+	w.toState(n, func() error {
+		leader, leaderErr = w.State.Get(store.KeyLeader)
+		term, termErr = w.State.Get(store.KeyTerm)
+		return nil
+	}, func(err error) {
+		if err != nil || errors.Is(leaderErr, store.ErrRefused) || errors.Is(termErr, store.ErrRefused) {
+			again(tuning.CampaignRetry)
+			return
+		}
+		if leaderErr == nil {
+			var rec election.LeaderRecord
+			_ = json.Unmarshal(leader.Value, &rec)
+			if rec.Node != n.name || rec.Nonce == n.nonce {
+				again(w.between(100, 400))
+				return
+			}
+		}
+		w.campaign(n, leader.Version, term, again)
+	})
+}
+
+func (w *World) campaign(n *node, leaderVersion uint64, term wire.Item, again func(time.Duration)) {
+	var rec store.TermRecord
+	_ = json.Unmarshal(term.Value, &rec)
+	sent := w.clock(n)
+	var lease uint64
+	var res wire.TxnResult
+	w.toState(n, func() (err error) {
+		if lease, err = w.State.Grant(w.now, tuning.LeaderTTL); err != nil {
+			return err
+		}
+		n.nonce = w.rng.Uint64()
+		record := election.LeaderRecord{Node: n.name, Nonce: n.nonce}
+		res, err = w.State.Commit(election.CampaignTxn(record, rec.Term+1, lease, leaderVersion, term.Version))
+		return err
+	}, func(err error) {
+		if err != nil {
+			again(tuning.CampaignRetry)
+			return
+		}
+		w.load(n, election.NewLeadership(rec.Term+1, sent), lease, res.Revision)
+		again(tuning.RenewEvery)
+	})
+}
+
+// load reads everything and starts the term.
+func (w *World) load(n *node, l *election.Leadership, lease, version uint64) {
+	won := w.clock(n)
+	n.term, n.lease = l, lease
+	w.toState(n, func() error { return nil }, func(err error) {
+		if n.term != l {
+			return
+		}
+		p := controller.New(zerolog.Nop(), w.Params, config.Operator{}, l.Term, won, controller.Grace(w.Params.Workers))
+		for _, prefix := range controller.Prefixes {
+			items, listErr := w.State.List(prefix)
+			if listErr != nil || err != nil {
+				w.depose(n)
+				return
+			}
+			for _, item := range items {
+				if err := p.Load(w.clock(n), w.now, item); err != nil {
+					w.err = err
+				}
+			}
+		}
+		p.Loaded(w.clock(n))
+		p.SetTypes([]wire.MachineType{w.Cloud.Type})
+		n.picture = p
+		n.writer = store.NewWriter(l.Term, version, version)
+		n.batch = nil
+		w.pump(n, p)
+		w.tick(n, p)
+		w.list(n, p)
+	})
+}
+
+func (w *World) depose(n *node) {
+	if n.term != nil {
+		n.term.End()
+	}
+	if n.picture != nil {
+		n.picture.Stop()
+	}
+	n.term, n.picture, n.writer, n.batch = nil, nil, nil, nil
+}
+
+// pump commits the picture's changes one batch after the other.
+func (w *World) pump(n *node, p *controller.Controller) {
+	if n.picture != p {
+		return
+	}
+	if n.batch == nil {
+		if n.batch = p.NextBatch(8); n.batch == nil {
+			w.after(tuning.BatchGap, func() { w.pump(n, p) })
+			return
+		}
+		n.writer.Begin(n.batch.Writes)
+	}
+	var res wire.TxnResult
+	txn := n.writer.Txn()
+	w.toState(n, func() (err error) {
+		res, err = w.State.Commit(txn)
+		return err
+	}, func(err error) {
+		if n.picture == p {
+			w.outcome(n, p, n.writer.Answer(res, err))
+		}
+	})
+}
+
+func (w *World) outcome(n *node, p *controller.Controller, o store.Outcome) {
+	switch o {
+	case store.Applied:
+		p.Committed(n.batch)
+		n.batch = nil
+		w.pump(n, p)
+	case store.Again:
+		w.after(tuning.StoreRetry, func() { w.pump(n, p) })
+	case store.Deposed:
+		w.depose(n)
+	case store.Settle:
+		var item wire.Item
+		w.toState(n, func() (err error) {
+			item, err = w.State.Get(store.KeyTerm)
+			return err
+		}, func(err error) {
+			if n.picture == p {
+				w.outcome(n, p, n.writer.Settled(item, err))
+			}
+		})
+	}
+}
+
+// tick lets the picture decide and carries its cloud calls out.
+func (w *World) tick(n *node, p *controller.Controller) {
+	if n.picture != p {
+		return
+	}
+	now := w.clock(n)
+	authority := n.term.Authority(now)
+	p.Tick(now, authority)
+	if authority {
+		for _, call := range p.Plan(now) {
+			w.call(n, p, call)
+		}
+	}
+	w.after(w.between(30, 120), func() { w.tick(n, p) })
+}
+
+func (w *World) call(n *node, p *controller.Controller, call controller.CloudCall) {
+	var names []string
+	do := func() {
+		if call.Op == controller.CloudRent {
+			names = w.Cloud.Rent(w.now, w.rng, call.Rent)
+			w.boot(names)
+			return
+		}
+		for _, id := range call.Release {
+			w.remove(id)
+		}
+	}
+	answer := func() {
+		if n.picture != p {
+			return
+		}
+		if call.Op == controller.CloudRent {
+			p.Rented(w.clock(n), call.Rent, names)
+		} else {
+			p.Released(w.clock(n), call.Release)
+		}
+	}
+	w.after(w.between(50, 200), func() {
+		if w.troubled() && w.chance(0.1) {
+			// No answer: the request may come much later; it is repeated.
+			if w.chance(0.5) {
+				w.after(w.between(0, 90_000), do)
+			}
+			w.after(tuning.CloudTimeout, func() {
+				if n.picture == p {
+					w.call(n, p, call)
+				}
+			})
+			return
+		}
+		do()
+		w.after(w.between(10, 100), answer)
+	})
+}
+
+func (w *World) list(n *node, p *controller.Controller) {
+	if n.picture != p {
+		return
+	}
+	asked := w.clock(n)
+	lag := time.Duration(w.Params.Cloud.ListLagS * (0.5 + w.rng.Float64()) * float64(time.Second))
+	rows := w.Cloud.List(w.now, lag)
+	w.after(w.between(20, 200), func() {
+		if n.picture == p {
+			p.Listed(w.clock(n), asked, rows)
+		}
+	})
+	w.after(w.between(2000, 4000), func() { w.list(n, p) })
+}
+
+// boot brings rented machines up when their time has come.
+func (w *World) boot(names []string) {
+	for _, id := range names {
+		row := w.Cloud.rows[id]
+		if row == nil || w.workers[id] != nil {
+			continue
+		}
+		w.after(max(0, row.up.Sub(w.now)), func() {
+			if w.Cloud.rows[id] != row || w.workers[id] != nil {
+				return
+			}
+			row.State = wire.MachineRunning
+			m := &worker{Worker: NewWorker(w.now, row.ListedMachine, w.Cloud.Type, time.Duration(w.Params.Workers.LeaseS*float64(time.Second)))}
+			m.Jobs = func(id string) *wire.Job { return w.jobs[id] }
+			m.RunTime = func(j *wire.Job) time.Duration {
+				return time.Duration(j.EstimateS * (0.5 + w.rng.Float64()) * float64(time.Second))
+			}
+			m.Faulty = w.troubled() && w.chance(0.05)
+			m.target = w.rng.IntN(len(w.nodes))
+			w.workers[id] = m
+			w.report(m)
+		})
+	}
+}
+
+func (w *World) remove(id string) {
+	delete(w.Cloud.rows, id)
+	if m := w.workers[id]; m != nil {
+		m.gone = true
+		delete(w.workers, id)
+	}
+}
+
+// report is a worker's loop: one report in flight, sent every few seconds and
+// half a second after a change.
+func (w *World) report(m *worker) {
+	if m.gone {
+		return
+	}
+	w.after(100*time.Millisecond, func() { w.report(m) })
+	due := !w.now.Before(m.nextAt) || m.Changed && w.now.Sub(m.lastSent) >= 500*time.Millisecond
+	if m.inFlight || !due || w.now.Before(m.hung) {
+		return
+	}
+	r := m.Report()
+	sent := w.now
+	m.lastSent = sent
+	m.inFlight = true
+	m.nextAt = w.now.Add(time.Duration(w.Params.Workers.ReportS * (0.75 + 0.5*w.rng.Float64()) * float64(time.Second)))
+	answered := false
+	target := w.nodes[m.target]
+	fail := func() {
+		if !answered {
+			answered = true
+			m.inFlight = false
+			m.target = (m.target + 1) % len(w.nodes)
+			m.nextAt = w.now.Add(time.Second)
+		}
+	}
+	w.after(4*time.Second, fail)
+	deliver := func() {
+		a, ok := w.handle(target, r)
+		if !ok {
+			w.after(w.between(1, 20), fail)
+			return
+		}
+		if w.Tamper != nil {
+			w.Tamper(&a)
+		}
+		if w.troubled() && w.chance(0.02) {
+			return
+		}
+		w.after(w.between(1, 50), func() {
+			if answered || m.gone || w.now.Before(m.cutUntil) || w.now.Before(m.hung) {
+				return
+			}
+			answered = true
+			m.inFlight = false
+			m.Answer(w.now, sent, r.Session, a)
+		})
+	}
+	if w.now.Before(m.cutUntil) {
+		if w.chance(0.5) {
+			w.after(m.cutUntil.Sub(w.now)+w.between(0, 30_000), deliver)
+		}
+		return
+	}
+	w.after(w.between(1, 50), deliver)
+	if w.troubled() && w.chance(0.02) {
+		w.after(w.between(100, 60_000), deliver) // a late copy
+	}
+}
+
+// route finds the node whose picture answers for a request at target.
+func (w *World) route(target *node, entitled func(*node) bool) *node {
+	if !target.up {
+		return nil
+	}
+	if target.picture != nil && entitled(target) {
+		return target
+	}
+	var best *node
+	for _, n := range w.nodes {
+		pair := [2]int{min(n.id, target.id), max(n.id, target.id)}
+		if n.up && n.picture != nil && entitled(n) && !w.split[pair] && (best == nil || n.term.Term > best.term.Term) {
+			best = n
+		}
+	}
+	return best
+}
+
+func (w *World) handle(target *node, r *wire.Report) (wire.ReportAnswer, bool) {
+	grace := controller.Grace(w.Params.Workers)
+	n := w.route(target, func(n *node) bool { return n.term.Grace(w.clock(n), grace) })
+	if n == nil {
+		return wire.ReportAnswer{}, false
+	}
+	now := w.clock(n)
+	return n.picture.Report(now, r, n.term.Authority(now))
+}
+
+// leaderFor finds the node that answers a user at target.
+func (w *World) leaderFor(target *node) *node {
+	return w.route(target, func(n *node) bool { return n.term.Authority(w.clock(n)) })
+}
+
+// Submit lets a user submit a job, repeat the request until it is answered,
+// and poll until the job is over.
+func (w *World) Submit(after time.Duration, j *wire.Job, cancelAfter time.Duration) {
+	w.after(after, func() {
+		w.jobs[j.ID] = j
+		w.Rules.Submitted(j)
+		w.submit(j)
+		w.poll(j)
+		if cancelAfter > 0 {
+			w.after(cancelAfter, func() {
+				w.Rules.AskedCancel(j.ID)
+				w.cancel(j)
+			})
+		}
+	})
+}
+
+func (w *World) ask(j *wire.Job, submission bool, send func(n *node, then func(controller.Verdict)), done func(controller.Verdict)) {
+	target := w.nodes[w.rng.IntN(len(w.nodes))]
+	answered := false
+	sent := w.now
+	w.after(w.between(1, 20), func() {
+		n := w.leaderFor(target)
+		if n == nil {
+			answered = true
+			w.after(w.between(1, 20), func() { done(controller.Verdict{Status: 503}) })
+			return
+		}
+		send(n, func(v controller.Verdict) {
+			w.after(w.between(1, 20), func() {
+				if !answered {
+					answered = true
+					if err := w.Rules.Told(w.now, sent, j.ID, v.Status, v.State, submission); err != nil && w.err == nil {
+						w.err = err
+					}
+					done(v)
+				}
+			})
+		})
+	})
+	w.after(5*time.Second, func() {
+		if !answered {
+			answered = true
+			done(controller.Verdict{Status: 504})
+		}
+	})
+}
+
+func (w *World) submit(j *wire.Job) {
+	w.ask(j, true, func(n *node, then func(controller.Verdict)) {
+		n.picture.Submit(w.clock(n), w.now, j, then)
+	}, func(v controller.Verdict) {
+		if v.Status/100 != 2 || w.chance(0.05) {
+			w.after(w.between(1000, 5000), func() { w.submit(j) })
+		}
+	})
+}
+
+func (w *World) cancel(j *wire.Job) {
+	w.ask(j, false, func(n *node, then func(controller.Verdict)) {
+		n.picture.Cancel(w.clock(n), j.ID, then)
+	}, func(v controller.Verdict) {
+		if v.Status/100 != 2 {
+			w.after(w.between(1000, 3000), func() { w.cancel(j) })
+		}
+	})
+}
+
+func (w *World) poll(j *wire.Job) {
+	w.ask(j, false, func(n *node, then func(controller.Verdict)) {
+		then(n.picture.Query(j.ID))
+	}, func(controller.Verdict) {
+		w.after(w.between(3000, 6000), func() { w.poll(j) })
+	})
+}
+
+// Troubles draws what goes wrong until calm.
+func (w *World) Troubles() {
+	var next func()
+	next = func() {
+		if !w.troubled() {
+			return
+		}
+		w.trouble()
+		w.after(time.Duration(float64(w.between(1000, 30_000))/w.Trouble), next)
+	}
+	w.after(w.between(1000, 20_000), next)
+}
+
+func (w *World) trouble() {
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	names := w.names()
+	var m *worker
+	if len(names) > 0 {
+		m = w.workers[names[w.rng.IntN(len(names))]]
+	}
+	span := w.between(1000, 40_000)
+	switch w.rng.IntN(10) {
+	case 0:
+		w.crash(n, w.between(50, 5000))
+	case 1:
+		for _, n := range w.nodes {
+			w.crash(n, w.between(50, 5000))
+		}
+	case 2:
+		w.State.Down = true
+		w.after(span, func() { w.State.Down = false })
+	case 3:
+		n.cutState = w.now.Add(span)
+	case 4:
+		for _, n := range w.nodes {
+			if n.picture != nil {
+				n.cutState = w.now.Add(span)
+			}
+		}
+	case 5:
+		other := w.nodes[w.rng.IntN(len(w.nodes))]
+		pair := [2]int{min(n.id, other.id), max(n.id, other.id)}
+		w.split[pair] = true
+		w.after(span, func() { delete(w.split, pair) })
+	case 6:
+		if m != nil {
+			m.cutUntil = w.now.Add(span)
+		}
+	case 7:
+		if m != nil {
+			m.hung = w.now.Add(span)
+		}
+	case 8:
+		if m != nil {
+			// The machine dies or, a spot one, is taken without a notice.
+			w.remove(m.ID)
+		}
+	case 9:
+		for _, id := range names {
+			if m := w.workers[id]; m.Offer.Spot && w.chance(0.5) {
+				notice := 5.0
+				m.Notice, m.Changed = &notice, true
+				w.after(w.between(2500, 7500), func() { w.remove(id) })
+			}
+		}
+	}
+}
+
+// crash ends a process and starts it again.
+func (w *World) crash(n *node, down time.Duration) {
+	if !n.up {
+		return
+	}
+	n.up = false
+	n.life++
+	n.term, n.picture, n.writer, n.batch = nil, nil, nil, nil
+	w.after(down, func() {
+		n.up = true
+		w.nodeStep(n, n.life)
+	})
+}
--- /dev/null
+++ b/internal/standin/world_test.go
@@ -0,0 +1,106 @@
+package standin_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/standin"
+	"switchshore.example/switchshore/wire"
+)
+
+var machineType = wire.MachineType{
+	Name: "std-8", CPUs: 8, MemoryGB: 32, FetchGBPerS: 0.5, CacheGB: 20,
+	Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a", "b"},
+}
+
+func params() config.Params {
+	return config.Params{
+		Teams: []config.Team{
+			{Name: "blue", CPUs: 16, CPUsMax: 24},
+			{Name: "green", CPUs: 8, CPUsMax: 12},
+		},
+		Workers: config.Workers{ReportS: 3, LeaseS: 15, CancelS: 45},
+		State:   config.State{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 48},
+		Cloud:   config.Cloud{RPS: 5, ListLagS: 4},
+	}
+}
+
+// drawJob draws a job of any shape the protocol allows.
+func drawJob(rng *rand.Rand, number int) *wire.Job {
+	j := &wire.Job{
+		ID: fmt.Sprintf("job-%06d", number), Class: "c", Team: "blue", Kind: wire.KindArray,
+		Priority: []string{wire.PriorityCritical, wire.PriorityHigh, wire.PriorityNormal, wire.PriorityIdle}[rng.IntN(4)],
+		Tasks:    1 + rng.IntN(9), CPUs: float64(1 + rng.IntN(4)), MemoryGB: float64(1 + rng.IntN(8)),
+		Image: fmt.Sprintf("img-%d", rng.IntN(4)), ImageGB: rng.Float64() * 2,
+		Spot: rng.IntN(3) > 0, OneZone: rng.IntN(4) == 0, EstimateS: 2 + 20*rng.Float64(),
+	}
+	if rng.IntN(2) == 0 {
+		j.Team = "green"
+	}
+	if rng.IntN(2) == 0 {
+		j.CheckpointS, j.SaveS = 5, 2
+	}
+	if rng.IntN(5) == 0 {
+		j.Zone = "b"
+	} else if !j.OneZone && rng.IntN(4) == 0 {
+		j.Spread = true
+	}
+	return j
+}
+
+// play runs one seeded day and returns the world and the first broken rule.
+func play(seed uint64, trouble float64, tamper func(*wire.ReportAnswer)) (*standin.World, error) {
+	w := standin.NewWorld(seed, 3, params(), machineType)
+	w.Trouble = trouble
+	w.Tamper = tamper
+	rng := rand.New(rand.NewPCG(seed, 2))
+	for i := range 25 {
+		cancel := time.Duration(0)
+		if rng.IntN(4) == 0 {
+			cancel = time.Duration(1+rng.IntN(60)) * time.Second
+		}
+		w.Submit(time.Duration(rng.IntN(200_000))*time.Millisecond, drawJob(rng, i), cancel)
+	}
+	w.Troubles()
+	return w, w.Run(900*time.Second, 300*time.Second)
+}
+
+// TestQuietDays: without troubles every job ends and no rule is broken.
+func TestQuietDays(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			w, err := play(seed, 0, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if left := w.Rules.Unfinished(); len(left) > 0 {
+				t.Fatalf("not done: %v", left)
+			}
+		})
+	}
+}
+
+// TestRoughDays: crashes, outages, cuts, held messages, dying, hanging and
+// taken machines; the rules hold after each step, and once it is calm every
+// job ends.
+func TestRoughDays(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			w, err := play(100+seed, 1+float64(seed%3), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if left := w.Rules.Unfinished(); len(left) > 0 {
+				t.Fatalf("not done: %v", left)
+			}
+			if w.Rules.Started() == 0 {
+				t.Fatal("nothing ran")
+			}
+		})
+	}
+}
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"slices"
 	"time"
 
@@ -27,92 +26,110 @@
 // guarded on the leader key, so that it dies once the leader has changed, and
 // on the term key, so that a transaction whose answer was lost and which was
 // then repeated cannot be applied a second time, later, over newer values.
+//
+// The steps do no I/O: Begin, then Txn and Answer until the outcome is known.
 type Writer struct {
-	store  API
 	term   uint64
 	leader wire.Guard
 	fence  wire.Guard
 	nonce  uint64
+	writes []wire.Write
+	fenced bool
 }
 
+// Outcome is what an answer means for the changes begun.
+type Outcome int
+
+// Outcomes.
+const (
+	Applied Outcome = iota // durable
+	Again                  // send Txn once more
+	Settle                 // read KeyTerm, then ask Settled
+	Deposed                // not applied now, and never will be
+)
+
 // NewWriter returns a writer for a term whose leader and term keys have the
 // given versions.
-func NewWriter(s API, term, leaderVersion, termVersion uint64) *Writer {
+func NewWriter(term, leaderVersion, termVersion uint64) *Writer {
 	return &Writer{
-		store:  s,
 		term:   term,
 		leader: wire.Guard{Key: KeyLeader, Version: leaderVersion},
 		fence:  wire.Guard{Key: KeyTerm, Version: termVersion},
 	}
 }
 
-// Commit makes the changes durable or fails for good: it returns nil when
-// they are applied, ErrDeposed when they never will be, or the context's error.
-func (w *Writer) Commit(ctx context.Context, writes []wire.Write) error {
-	fenced := false
-	for {
-		txn := wire.Txn{If: []wire.Guard{w.leader, w.fence}, Then: writes}
-		if fenced {
-			value, err := json.Marshal(TermRecord{Term: w.term, Fence: w.nonce})
-			if err != nil {
-				return err
-			}
-			txn.Then = append(slices.Clip(writes), wire.Write{Put: KeyTerm, Value: value})
-		}
-		res, err := w.store.Commit(ctx, txn)
-		switch {
-		case err == nil:
-			if fenced {
-				w.fence.Version = res.Revision
-			}
-			return nil
-		case errors.Is(err, ErrConflict):
-			if !fenced || slices.Contains(res.Failed, KeyLeader) {
-				return ErrDeposed
-			}
-			// An earlier try may have been the one that was applied.
-			applied, err := w.settle(ctx)
-			if err != nil {
-				return err
-			}
-			if !applied {
-				return ErrDeposed
-			}
-			return nil
-		case errors.Is(err, ErrMalformed):
-			return fmt.Errorf("%w: %w", ErrDeposed, err)
-		case errors.Is(err, httpc.ErrNoAnswer) && !fenced:
-			// From now on the repeats carry a new fence: whichever try is
-			// applied first, no other one can be.
-			fenced = true
-			w.nonce++
+// Begin starts a group of changes; the one before must have been applied.
+func (w *Writer) Begin(writes []wire.Write) { w.writes, w.fenced = writes, false }
+
+// Txn is the transaction to send.
+func (w *Writer) Txn() wire.Txn {
+	txn := wire.Txn{If: []wire.Guard{w.leader, w.fence}, Then: w.writes}
+	if w.fenced {
+		value, _ := json.Marshal(TermRecord{Term: w.term, Fence: w.nonce})
+		txn.Then = append(slices.Clip(w.writes), wire.Write{Put: KeyTerm, Value: value})
+	}
+	return txn
+}
+
+// Answer takes in the answer to Txn.
+func (w *Writer) Answer(res wire.TxnResult, err error) Outcome {
+	switch {
+	case err == nil:
+		if w.fenced {
+			w.fence.Version = res.Revision
 		}
-		if err := Pause(ctx, tuning.StoreRetry); err != nil {
-			return err
+		return Applied
+	case errors.Is(err, ErrConflict):
+		if !w.fenced || slices.Contains(res.Failed, KeyLeader) {
+			return Deposed
 		}
+		// An earlier try may have been the one that was applied.
+		return Settle
+	case errors.Is(err, ErrMalformed):
+		return Deposed
+	case errors.Is(err, httpc.ErrNoAnswer) && !w.fenced:
+		// From now on the tries carry a new fence: whichever try is applied
+		// first, no other one can be.
+		w.fenced = true
+		w.nonce++
 	}
+	return Again
 }
 
-// settle reads whether the term key carries this writer's latest fence.
-func (w *Writer) settle(ctx context.Context) (bool, error) {
+// Settled takes in what KeyTerm was read to be.
+func (w *Writer) Settled(item wire.Item, err error) Outcome {
+	var rec TermRecord
+	switch {
+	case errors.Is(err, ErrNotFound):
+		return Deposed
+	case err != nil:
+		return Settle
+	case json.Unmarshal(item.Value, &rec) != nil || rec.Term != w.term || rec.Fence != w.nonce:
+		return Deposed
+	}
+	w.fence.Version = item.Version
+	return Applied
+}
+
+// Commit makes the changes durable or fails for good: it returns nil when
+// they are applied, ErrDeposed when they never will be, or the context's error.
+func (w *Writer) Commit(ctx context.Context, s API, writes []wire.Write) error {
+	w.Begin(writes)
+	outcome := Again
 	for {
-		item, err := w.store.Get(ctx, KeyTerm)
-		if err == nil {
-			var rec TermRecord
-			if err := json.Unmarshal(item.Value, &rec); err != nil {
-				return false, err
-			}
-			if rec.Term != w.term || rec.Fence != w.nonce {
-				return false, nil
-			}
-			w.fence.Version = item.Version
-			return true, nil
+		if outcome == Settle {
+			outcome = w.Settled(s.Get(ctx, KeyTerm))
+		} else {
+			outcome = w.Answer(s.Commit(ctx, w.Txn()))
 		}
-		if errors.Is(err, ErrNotFound) {
-			return false, nil
+		switch outcome {
+		case Applied:
+			return nil
+		case Deposed:
+			return ErrDeposed
 		}
 		if err := Pause(ctx, tuning.StoreRetry); err != nil {
-			return false, err
+			return err
 		}
 	}
 }
