--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -357,7 +357,6 @@
 		j.ready = nil
 		delete(c.dirty, j)
 		c.end(j, finalCancelled)
-		c.stopAll(j)
 	}
 }
 
@@ -406,7 +405,6 @@
 		j.ready = nil
 		delete(c.dirty, j)
 		c.end(j, finalDone)
-		c.stopAll(j)
 		return
 	}
 	j.chunks[int(index)/tuning.DoneChunk] = true
--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,341 @@
+package controller_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/controller"
+	"switchshore.example/switchshore/wire"
+)
+
+var (
+	start   = time.Unix(1_700_000_000, 0)
+	bigType = wire.MachineType{Name: "std-8", CPUs: 8, MemoryGB: 32, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a"}}
+	params  = config.Params{
+		Teams:   []config.Team{{Name: "blue", CPUs: 8, CPUsMax: 16}},
+		Workers: config.Workers{ReportS: 3, LeaseS: 15, CancelS: 45},
+		State:   config.State{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 48},
+		Cloud:   config.Cloud{RPS: 5, ListLagS: 4},
+	}
+)
+
+func spec(id string) *wire.Job {
+	return &wire.Job{
+		ID: id, Class: "c", Team: "blue", Kind: wire.KindArray, Priority: wire.PriorityHigh,
+		Tasks: 1, CPUs: 2, MemoryGB: 1, Image: "img", ImageGB: 1, Spot: true, EstimateS: 30,
+	}
+}
+
+// leader is a controller with a map in the place of the state service.
+type leader struct {
+	*controller.Controller
+	t    *testing.T
+	now  time.Time
+	kept map[string]json.RawMessage
+	seq  uint64
+}
+
+func newLeader(t *testing.T, term uint64, now time.Time, kept map[string]json.RawMessage) *leader {
+	t.Helper()
+	c := controller.New(zerolog.Nop(), params, config.Operator{}, term, now, controller.Grace(params.Workers))
+	for _, prefix := range controller.Prefixes {
+		for k, v := range kept {
+			if strings.HasPrefix(k, prefix) {
+				if err := c.Load(now, now, wire.Item{Key: k, Value: v}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	}
+	c.Loaded(now)
+	c.SetTypes([]wire.MachineType{bigType})
+	return &leader{Controller: c, t: t, now: now, kept: kept}
+}
+
+// commit makes all queued changes durable.
+func (l *leader) commit() {
+	for b := l.NextBatch(10); b != nil; b = l.NextBatch(10) {
+		for _, w := range b.Writes {
+			if w.Delete != "" {
+				delete(l.kept, w.Delete)
+			} else {
+				l.kept[w.Put] = w.Value
+			}
+		}
+		l.Committed(b)
+	}
+}
+
+func (l *leader) pass(d time.Duration) {
+	l.now = l.now.Add(d)
+	l.Tick(l.now, true)
+}
+
+func (l *leader) report(machine string, session uint64, tasks ...wire.TaskReport) []wire.Command {
+	l.t.Helper()
+	l.seq++
+	a, ok := l.Report(l.now, &wire.Report{
+		Machine: machine, Type: "std-8", Zone: "a", Session: session, Seq: l.seq, Token: l.Term(), Tasks: tasks,
+	}, true)
+	if !ok {
+		l.t.Fatal("report refused")
+	}
+	return a.Commands
+}
+
+func (l *leader) submit(id string) {
+	l.t.Helper()
+	var got controller.Verdict
+	l.Submit(l.now, l.now, spec(id), func(v controller.Verdict) { got = v })
+	if got.Status != 0 {
+		l.t.Fatalf("answered %d before the job was durable", got.Status)
+	}
+	l.commit()
+	if got.Status != 201 {
+		l.t.Fatalf("submission: %+v", got)
+	}
+}
+
+func ops(cs []wire.Command) string {
+	var out []string
+	for _, c := range cs {
+		out = append(out, c.Op+" "+c.Task)
+	}
+	return strings.Join(out, ", ")
+}
+
+// running brings one job's only task to run on m1.
+func running(t *testing.T) (*leader, wire.TaskReport) {
+	t.Helper()
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	l.submit("job-1")
+	l.report("m1", 1)
+	l.pass(time.Second)
+	if cs := l.report("m1", 1); len(cs) != 0 {
+		t.Fatalf("started before its record was durable: %s", ops(cs))
+	}
+	l.commit()
+	cs := l.report("m1", 1)
+	if ops(cs) != "run job-1/0" {
+		t.Fatalf("want a start, got %q", ops(cs))
+	}
+	tr := wire.TaskReport{Task: "job-1/0", Attempt: cs[0].Attempt, State: wire.TaskRunning}
+	if cs := l.report("m1", 1, tr); len(cs) != 0 {
+		t.Fatal(ops(cs))
+	}
+	return l, tr
+}
+
+// TestDoneIsDurableBeforeForget: the worker's memory of a completion is the
+// only one until the state service has it, and users hear of it only then.
+func TestDoneIsDurableBeforeForget(t *testing.T) {
+	l, tr := running(t)
+	tr.State, tr.Why = wire.TaskExited, wire.WhyDone
+	if cs := l.report("m1", 1, tr); len(cs) != 0 {
+		t.Fatalf("before it is durable: %s", ops(cs))
+	}
+	if v := l.Query("job-1"); v.State == wire.JobDone {
+		t.Fatal("told before it is durable")
+	}
+	l.commit()
+	if v := l.Query("job-1"); v.State != wire.JobDone || v.Done != 1 {
+		t.Fatalf("%+v", v)
+	}
+	if cs := l.report("m1", 1, tr); ops(cs) != "reap job-1/0" {
+		t.Fatal(ops(cs))
+	}
+	l.commit()
+	later := newLeader(t, 6, l.now, l.kept)
+	if v := later.Query("job-1"); v.State != wire.JobDone || v.Done != 1 {
+		t.Fatalf("after a succession: %+v", v)
+	}
+}
+
+// TestLostSessionStaysLost: after a machine's lease has run out its task runs
+// elsewhere; a late report of the lost session must not bring it back.
+func TestLostSessionStaysLost(t *testing.T) {
+	l, tr := running(t)
+	l.pass(17 * time.Second)
+	l.report("m2", 1)
+	l.pass(time.Second)
+	l.commit()
+	cs := l.report("m2", 1)
+	if ops(cs) != "run job-1/0" {
+		t.Fatalf("want a start elsewhere, got %q", ops(cs))
+	}
+	if cs := l.report("m1", 1, tr); len(cs) != 0 {
+		t.Fatalf("a late report of a lost session got %s", ops(cs))
+	}
+	l.report("m2", 1, wire.TaskReport{Task: "job-1/0", Attempt: cs[0].Attempt, State: wire.TaskRunning})
+	if v := l.Query("job-1"); v.Run != 1 {
+		t.Fatalf("running %d", v.Run)
+	}
+}
+
+// TestSuccessorWaitsForRecordedMachine: a new leader places a task only when
+// the machine that may hold it has spoken in its term or its lease is over.
+func TestSuccessorWaitsForRecordedMachine(t *testing.T) {
+	l, tr := running(t)
+	next := newLeader(t, 6, l.now, l.kept)
+	next.report("m2", 1)
+	next.pass(time.Second)
+	next.commit()
+	if cs := next.report("m2", 1); len(cs) != 0 {
+		t.Fatalf("placed a task that m1 may hold: %s", ops(cs))
+	}
+	// A report that knows an earlier term only proves nothing yet.
+	a, ok := next.Report(next.now, &wire.Report{Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: 50, Token: 5}, true)
+	if !ok || a.Token != 6 || len(a.Commands) != 0 {
+		t.Fatalf("%+v", a)
+	}
+	next.pass(time.Second)
+	next.commit()
+	if cs := next.report("m2", 1); len(cs) != 0 {
+		t.Fatalf("placed on the word of an old report: %s", ops(cs))
+	}
+	next.seq = 60
+	next.report("m1", 1, tr)
+	if v := next.Query("job-1"); v.State != wire.JobRunning {
+		t.Fatalf("%+v", v)
+	}
+	// Without a word from m1 the task is free once its lease is over,
+	// counted from the last answer that a predecessor may have given.
+	other := newLeader(t, 7, l.now, l.kept)
+	wait := controller.Grace(params.Workers) + 15*time.Second
+	for other.now.Before(l.now.Add(wait)) {
+		other.report("m2", 1)
+		other.pass(time.Second)
+		other.commit()
+		if cs := other.report("m2", 1); len(cs) != 0 {
+			t.Fatalf("placed %v after the succession", other.now.Sub(l.now))
+		}
+	}
+	other.pass(3 * time.Second)
+	other.report("m2", 1)
+	other.pass(time.Second)
+	other.commit()
+	if cs := other.report("m2", 1); ops(cs) != "run job-1/0" {
+		t.Fatalf("after the lease: %q", ops(cs))
+	}
+}
+
+// TestCancelStopsEverywhere: durable before it is told, stopped in the next
+// answer, and forgotten by no successor.
+func TestCancelStopsEverywhere(t *testing.T) {
+	l, tr := running(t)
+	var got controller.Verdict
+	l.Cancel(l.now, "job-1", func(v controller.Verdict) { got = v })
+	if got.Status != 0 {
+		t.Fatal("told before it is durable")
+	}
+	l.commit()
+	if got.State != wire.JobCancelled {
+		t.Fatalf("%+v", got)
+	}
+	if cs := l.report("m1", 1, tr); ops(cs) != "kill job-1/0" {
+		t.Fatal(ops(cs))
+	}
+	next := newLeader(t, 6, l.now, l.kept)
+	if cs := next.report("m1", 1, tr); ops(cs) != "kill job-1/0" {
+		t.Fatal("successor:", ops(cs))
+	}
+	if v := next.Query("job-1"); v.State != wire.JobCancelled {
+		t.Fatalf("%+v", v)
+	}
+}
+
+// TestUnwantedTaskIsStopped: a task of a job that nobody knows is ended and
+// then forgotten.
+func TestUnwantedTaskIsStopped(t *testing.T) {
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	tr := wire.TaskReport{Task: "job-9/3", Attempt: 7, State: wire.TaskRunning}
+	if cs := l.report("m1", 1, tr); ops(cs) != "kill job-9/3" {
+		t.Fatal(ops(cs))
+	}
+	tr.State, tr.Why = wire.TaskExited, wire.WhyStopped
+	if cs := l.report("m1", 1, tr); ops(cs) != "reap job-9/3" {
+		t.Fatal(ops(cs))
+	}
+}
+
+// TestFailingJobBacksOff: a job that fails everywhere leaves room to others,
+// and a machine on which several jobs fail gets no more work.
+func TestFailingJobBacksOff(t *testing.T) {
+	l, tr := running(t)
+	tr.State, tr.Why = wire.TaskExited, wire.WhyError
+	if cs := l.report("m1", 1, tr); ops(cs) != "reap job-1/0" {
+		t.Fatal(ops(cs))
+	}
+	l.submit("job-2")
+	l.pass(time.Second)
+	l.commit()
+	cs := l.report("m1", 1)
+	if ops(cs) != "run job-2/0" {
+		t.Fatalf("want job-2 only, got %q", ops(cs))
+	}
+	l.report("m1", 1, wire.TaskReport{Task: "job-2/0", Attempt: cs[0].Attempt, State: wire.TaskExited, Why: wire.WhyError})
+	l.submit("job-3")
+	l.pass(time.Second)
+	l.commit()
+	if cs := l.report("m1", 1); len(cs) != 0 {
+		t.Fatalf("a faulty machine got %s", ops(cs))
+	}
+}
+
+// TestNoStartsWithoutAuthority: while the state service is out of reach
+// reports are answered, but nothing starts.
+func TestNoStartsWithoutAuthority(t *testing.T) {
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	l.submit("job-1")
+	l.report("m1", 1)
+	l.pass(time.Second)
+	l.commit()
+	l.seq++
+	a, ok := l.Report(l.now, &wire.Report{Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: l.seq, Token: 5}, false)
+	if !ok || len(a.Commands) != 0 {
+		t.Fatalf("%v %+v", ok, a)
+	}
+}
+
+// TestImpossibleJobs: 422 for what can never run, 503 while that can't be told.
+func TestImpossibleJobs(t *testing.T) {
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	for name, change := range map[string]func(*wire.Job){
+		"team":  func(j *wire.Job) { j.Team = "red" },
+		"size":  func(j *wire.Job) { j.CPUs = 9 },
+		"limit": func(j *wire.Job) { j.CPUs = 17 },
+		"type":  func(j *wire.Job) { j.Types = []string{"other"} },
+		"zone":  func(j *wire.Job) { j.Zone = "z" },
+		"gpus":  func(j *wire.Job) { j.GPUs = 1 },
+	} {
+		j := spec("job-1")
+		change(j)
+		var got controller.Verdict
+		l.Submit(l.now, l.now, j, func(v controller.Verdict) { got = v })
+		if got.Status != 422 {
+			t.Errorf("%s: %+v", name, got)
+		}
+	}
+	fresh := controller.New(zerolog.Nop(), params, config.Operator{}, 1, start, 0)
+	var got controller.Verdict
+	fresh.Submit(start, start, spec("job-1"), func(v controller.Verdict) { got = v })
+	if got.Status != 503 {
+		t.Errorf("without machine types: %+v", got)
+	}
+}
+
+// TestGraceFitsCancellation: an old leader's last answer, a worker's lease
+// and a reserve fit into the time for cancellations.
+func TestGraceFitsCancellation(t *testing.T) {
+	for _, w := range []config.Workers{{LeaseS: 17, CancelS: 47}, {LeaseS: 22, CancelS: 47}, {LeaseS: 30, CancelS: 31}} {
+		g := controller.Grace(w)
+		if g < 0 || g > 0 && g.Seconds()+w.LeaseS >= w.CancelS {
+			t.Errorf("%+v: grace %v", w, g)
+		}
+	}
+}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -212,20 +212,6 @@
 	return js
 }
 
-// stopAll asks for the end of all tasks of an ended job.
-func (c *Controller) stopAll(j *job) {
-	if j.held == 0 {
-		return
-	}
-	for _, m := range c.machines {
-		for k, a := range m.attempts {
-			if k.job == j {
-				a.stop, a.grace = true, 0
-			}
-		}
-	}
-}
-
 // record queues the machine's record with all tasks it may hold.
 func (c *Controller) record(m *machine, then func()) {
 	rec := machineRecord{Type: m.typ, Zone: m.zone, Spot: m.spot, Addr: m.addr, Tasks: map[string]string{}}
@@ -264,9 +250,6 @@
 		// Old or repeated: it proves nothing and gets no commands.
 		return answer, true
 	}
-	if r.Session > m.session && m.confirmed {
-		c.dropAll(now, m)
-	}
 	m.session, m.seq = r.Session, r.Seq
 	m.heardAt, m.answeredAt = now, now
 	m.addr = r.Addr
--- /dev/null
+++ b/internal/ranges/ranges_test.go
@@ -0,0 +1,34 @@
+package ranges_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"switchshore.example/switchshore/internal/ranges"
+)
+
+// TestRoundTrip: random sets survive the way through text, chunk by chunk.
+func TestRoundTrip(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		size := 1 + rng.IntN(400)
+		a, b := ranges.New(size), ranges.New(size)
+		for range rng.IntN(2 * size) {
+			a.Add(rng.IntN(size))
+		}
+		chunk := 1 + rng.IntN(100)
+		for from := 0; from < size; from += chunk {
+			if err := ranges.Each(a.Format(from, from+chunk), size, func(i int) { b.Add(i) }); err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+		}
+		if a.Format(0, size) != b.Format(0, size) || a.Len() != b.Len() {
+			t.Fatalf("seed %d: %s became %s", seed, a.Format(0, size), b.Format(0, size))
+		}
+	}
+	for _, bad := range []string{"x", "3-", "5-2", "9", "-1"} {
+		if ranges.Each(bad, 9, func(int) {}) == nil {
+			t.Errorf("%q accepted", bad)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/sched_test.go
@@ -0,0 +1,113 @@
+package sched_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"switchshore.example/switchshore/internal/sched"
+)
+
+func vm(id string, cpus float64) *sched.Machine {
+	r := sched.Resources{CPUs: cpus, MemoryGB: 100}
+	return &sched.Machine{ID: id, Type: "t", Zone: "a", Total: r, Free: r, FetchGBPerS: 1, Images: map[string]float64{}}
+}
+
+func job(id string, level, tasks int) *sched.Ready {
+	return &sched.Ready{
+		Job: id, Team: "blue", Level: level, Tasks: tasks, Total: tasks, Spot: true,
+		Need: sched.Resources{CPUs: 1, MemoryGB: 1}, EstimateS: 10, Image: "img", ImageGB: 5,
+	}
+}
+
+func unlimited() map[string]*sched.Team {
+	return map[string]*sched.Team{"blue": {Max: sched.Resources{CPUs: 1e9, GPUs: 1e9, MemoryGB: 1e9}}}
+}
+
+// TestQueuesBehindCache is the paper's example: with the image cached on a
+// busy machine that frees soon, the task waits there rather than fetch.
+func TestQueuesBehindCache(t *testing.T) {
+	for _, c := range []struct {
+		remaining float64
+		want      string
+	}{{2, "[]"}, {8, "[{j idle}]"}} {
+		busy, idle := vm("busy", 1), vm("idle", 1)
+		busy.Free = sched.Resources{MemoryGB: 99}
+		busy.Images["img"] = 0
+		busy.Loads = []sched.Load{{Need: sched.Resources{CPUs: 1, MemoryGB: 1}, RemainingS: c.remaining}}
+		got := sched.Pass([]*sched.Ready{job("j", 0, 1)}, []*sched.Machine{busy, idle}, unlimited(), 10)
+		if fmt.Sprint(got) != c.want {
+			t.Errorf("remaining %v: %v, want %v", c.remaining, got, c.want)
+		}
+	}
+}
+
+func TestPriorityAndLimits(t *testing.T) {
+	teams := unlimited()
+	teams["red"] = &sched.Team{Max: sched.Resources{CPUs: 1, MemoryGB: 100}}
+	high := job("high", 0, 3)
+	high.Team = "red"
+	got := sched.Pass([]*sched.Ready{job("low", 2, 9), high}, []*sched.Machine{vm("m", 4)}, teams, 10)
+	if fmt.Sprint(got) != "[{high m} {low m} {low m} {low m}]" {
+		t.Fatal(got)
+	}
+}
+
+// TestRandomPasses: whatever the snapshot, no start breaks room, limits or
+// places, and no higher priority is passed over where it would fit.
+func TestRandomPasses(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 4))
+		var machines []*sched.Machine
+		free := map[string]sched.Resources{}
+		zone := map[string]string{}
+		for i := range 1 + rng.IntN(6) {
+			m := vm(fmt.Sprint("m", i), float64(1+rng.IntN(16)))
+			m.Zone = string(rune('a' + rng.IntN(3)))
+			m.Spot = rng.IntN(2) == 0
+			free[m.ID], zone[m.ID] = m.Free, m.Zone
+			machines = append(machines, m)
+		}
+		jobs := map[string]*sched.Ready{}
+		var ready []*sched.Ready
+		for i := range 1 + rng.IntN(8) {
+			j := job(fmt.Sprint("j", i), rng.IntN(4), 1+rng.IntN(9))
+			j.Need.CPUs = float64(1 + rng.IntN(4))
+			j.Image = fmt.Sprint("img", rng.IntN(3))
+			j.Spot = rng.IntN(3) > 0
+			j.OneZone = rng.IntN(3) == 0
+			j.Spread = !j.OneZone && rng.IntN(3) == 0
+			jobs[j.Job] = j
+			ready = append(ready, j)
+		}
+		limit := float64(1 + rng.IntN(30))
+		teams := map[string]*sched.Team{"blue": {Max: sched.Resources{CPUs: limit, GPUs: 1, MemoryGB: 1e9}}}
+		used := 0.0
+		zones := map[string]map[string]int{}
+		for _, s := range sched.Pass(ready, machines, teams, 100) {
+			j := jobs[s.Job]
+			if !free[s.Machine].Fits(j.Need) {
+				t.Fatalf("seed %d: no room for %v", seed, s)
+			}
+			free[s.Machine] = free[s.Machine].Add(j.Need, -1)
+			used += j.Need.CPUs
+			if zones[s.Job] == nil {
+				zones[s.Job] = map[string]int{}
+			}
+			zones[s.Job][zone[s.Machine]]++
+			for z, n := range zones[s.Job] {
+				if j.OneZone && len(zones[s.Job]) > 1 || j.Spread && n > (j.Total+1)/2 {
+					t.Fatalf("seed %d: %v in zone %s: %v", seed, s, z, zones[s.Job])
+				}
+			}
+			for _, m := range machines {
+				if m.ID == s.Machine && m.Spot && !j.Spot {
+					t.Fatalf("seed %d: %v on a spot machine", seed, s)
+				}
+			}
+		}
+		if used > limit {
+			t.Fatalf("seed %d: %v CPUs of %v", seed, used, limit)
+		}
+	}
+}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -37,6 +37,9 @@
 		Image: fmt.Sprintf("img-%d", rng.IntN(4)), ImageGB: rng.Float64() * 2,
 		Spot: rng.IntN(3) > 0, OneZone: rng.IntN(4) == 0, EstimateS: 2 + 20*rng.Float64(),
 	}
+	if rng.IntN(8) == 0 {
+		j.EstimateS = 90 // longer than a cancellation may take
+	}
 	if rng.IntN(2) == 0 {
 		j.Team = "green"
 	}
