--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -342,9 +342,11 @@
 	for _, r := range ready {
 		j := byID[r.Job]
 		limit := int(max(0, room[j.Team]) / max(j.CPUs, 1e-9))
-		n := min(len(j.ready), limit)
+		// A failing job tries one task at a time, but it has to find a machine
+		// for that one: without demand of its own it could wait for ever.
+		n := min(r.Tasks, limit)
 		room[j.Team] -= float64(n) * j.CPUs
-		if j.failures > 0 || n == 0 {
+		if n == 0 {
 			continue
 		}
 		in.Demand = append(in.Demand, provision.Demand{
