Starts go out directly to workers, fenced against late execution

Cause: a start waited for the next report, and after a completion for the one after the flush (waits p50 6.4 s, slots idle for seconds). Ruled out: state service (p95 of submissions 40 ms), lack of processor time (peak 0.2 of the share). Fence: an unanswered call keeps its task there, unforgotten, until the session ends.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -54,6 +54,7 @@
 	nextPlan time.Time
 	lastPass time.Time
 	changed  bool
+	orders   bool // starts may be waiting to go out directly
 	reserve  float64
 	reserved time.Time
 }
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -44,6 +44,16 @@
 	missing  int  // lists in a row without the machine
 	listed   bool
 	failed   bool
+	// keep names exited attempts whose start may still come late: forgetting
+	// them would let it run.
+	keep map[exitKey]bool
+	// calling: a direct call is under way. callAfter pauses them after one
+	// that got no answer.
+	calling   bool
+	callAfter time.Time
+	// fenceBy is when the machine has to be released, as a start of an ended
+	// job may still come late; zero for never.
+	fenceBy time.Time
 }
 
 type taskKey struct {
@@ -71,12 +81,17 @@
 )
 
 type attempt struct {
-	launch    uint64
-	state     attemptState
-	stop      bool // to be stopped
-	grace     float64
-	stopSent  bool
-	sentSeq   uint64 // report in whose answer the start went out last, 0 if none
+	launch   uint64
+	state    attemptState
+	stop     bool // to be stopped
+	grace    float64
+	stopSent bool
+	// sentSeq is the report in whose answer the start went out last, 0 if none.
+	sentSeq uint64
+	// direct: the start went out by /commands and no answer has come. It may
+	// then run at any later time within the session, so the attempt counts as
+	// there, is ordered again in answers to reports, and is never forgotten.
+	direct    bool
 	orderedAt time.Time
 	runningAt time.Time
 }
@@ -106,6 +121,7 @@
 		images:   map[string]time.Time{},
 		avoid:    map[string]bool{},
 		failing:  map[string]bool{},
+		keep:     map[exitKey]bool{},
 	}
 	c.machines[id] = m
 	c.size(m)
@@ -250,7 +266,7 @@
 		// Old or repeated: it proves nothing and gets no commands.
 		return answer, true
 	}
-	m.session, m.seq = r.Session, r.Seq
+	c.newer(m, r)
 	m.heardAt, m.answeredAt = now, now
 	m.addr = r.Addr
 	if !m.up {
@@ -266,14 +282,27 @@
 		// sent after it has seen this term shows all that it holds.
 		return answer, true
 	}
-	c.take(now, m, r)
+	c.take(now, m, r, true)
 	c.notice(now, m)
 	c.commands(now, m, r.Seq, authority, &answer)
 	return answer, true
 }
 
-// take compares the machine's complete list with what is known.
-func (c *Controller) take(now time.Time, m *machine, r *wire.Report) {
+// newer notes the order of a report; a new session ends all that is late.
+func (c *Controller) newer(m *machine, r *wire.Report) {
+	if r.Session > m.session {
+		clear(m.keep)
+		for _, a := range m.attempts {
+			a.direct = false
+		}
+	}
+	m.session, m.seq = r.Session, r.Seq
+}
+
+// take compares the machine's complete list with what is known. Only a report
+// that the worker sent by itself (checkin) proves that the starts in earlier
+// answers did not run: an answer to a direct call may overtake them.
+func (c *Controller) take(now time.Time, m *machine, r *wire.Report, checkin bool) {
 	seen := make(map[taskKey]bool, len(r.Tasks))
 	exited := make(map[exitKey]bool, len(r.Tasks))
 	var orphans []exitKey
@@ -285,7 +314,7 @@
 		if !ok || j == nil || index >= j.Tasks {
 			// A task that nobody wants: of a job that ended, or unknown.
 			if t.State == wire.TaskExited {
-				exited[ek] = true
+				exited[ek] = !m.keep[ek]
 			} else {
 				orphans = append(orphans, ek)
 			}
@@ -296,11 +325,14 @@
 		if t.State == wire.TaskExited {
 			if a != nil && (a.launch == t.Attempt || a.state == maybe) {
 				seen[k] = true
+				if a.direct {
+					m.keep[ek] = true
+				}
 				c.exit(now, m, k, a, t)
 			} else if t.Why == wire.WhyDone {
 				c.taskDone(now, j, k.index)
 			}
-			exited[ek] = t.Why != wire.WhyDone || j.isDurable(k.index)
+			exited[ek] = (t.Why != wire.WhyDone || j.isDurable(k.index)) && !m.keep[ek]
 			continue
 		}
 		if a != nil && a.state != maybe && a.launch != t.Attempt {
@@ -346,10 +378,21 @@
 		switch a.state {
 		case recording:
 		case ordered:
+			unwanted := a.stop || k.job.state != jobActive || k.job.done.Has(int(k.index))
+			if a.direct {
+				if unwanted && m.fenceBy.IsZero() {
+					m.draining = true
+					m.fenceBy = now.Add(seconds(c.params.Workers.CancelS / tuning.FenceParts))
+				}
+				continue
+			}
+			if !checkin && a.sentSeq != 0 {
+				continue
+			}
 			// Not there: the start did not run and, carried only by an
 			// answer now given up, never will.
 			a.sentSeq = 0
-			if a.stop || k.job.state != jobActive || k.job.done.Has(int(k.index)) || !c.open(now, m) {
+			if unwanted || !c.open(now, m) {
 				c.drop(now, m, k)
 			}
 		default:
@@ -473,7 +516,7 @@
 	if authority && !m.releasing {
 		for _, k := range keys {
 			a := m.attempts[k]
-			if a.state != ordered || a.stop || k.job.state != jobActive || len(out) >= tuning.AnswerCommands {
+			if a.state != ordered || a.stop || a.direct && m.calling || k.job.state != jobActive || k.job.done.Has(int(k.index)) || len(out) >= tuning.AnswerCommands {
 				continue
 			}
 			a.sentSeq = seq
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -63,6 +63,7 @@
 		// The start may go out only once the record of it is durable: a
 		// successor must know which machine to ask for the task.
 		c.record(m, func() {
+			c.orders = true
 			for _, a := range started {
 				if a.state == recording {
 					a.state = ordered
@@ -270,7 +271,7 @@
 func (c *Controller) useless(now time.Time, m *machine) bool {
 	boot := c.types[m.typ].BootS
 	switch {
-	case m.failed:
+	case m.failed, !m.fenceBy.IsZero() && now.After(m.fenceBy):
 		return true
 	case !m.up:
 		return boot > 0 && now.Sub(m.rentedAt).Seconds() > boot*tuning.BootPatience
--- a/internal/httpc/httpc.go
+++ b/internal/httpc/httpc.go
@@ -15,8 +15,14 @@
 	"switchshore.example/switchshore/internal/tuning"
 )
 
-// ErrNoAnswer means that a request may or may not have been carried out.
-var ErrNoAnswer = errors.New("no answer")
+var (
+	// ErrNoAnswer means that a request may or may not have been carried out.
+	ErrNoAnswer = errors.New("no answer")
+	// ErrNotSent means that there was no connection: a request was not and
+	// will not be carried out. It is an ErrNoAnswer, too, for callers who
+	// need not know.
+	ErrNotSent = fmt.Errorf("%w: no connection", ErrNoAnswer)
+)
 
 // Client talks to one host.
 type Client struct {
@@ -35,7 +41,11 @@
 		DisableHeaderNamesNormalizing: true,
 		DisablePathNormalizing:        true,
 		Dial: func(addr string) (net.Conn, error) {
-			return net.DialTimeout("tcp4", addr, tuning.PeerDialTimeout)
+			conn, err := net.DialTimeout("tcp4", addr, tuning.PeerDialTimeout)
+			if err != nil {
+				return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+			}
+			return conn, nil
 		},
 	}}
 }
@@ -62,6 +72,9 @@
 		deadline = d
 	}
 	if err := c.host.DoDeadline(req, res, deadline); err != nil {
+		if errors.Is(err, fasthttp.ErrNoFreeConns) {
+			err = ErrNotSent
+		}
 		return 0, fmt.Errorf("%w: %s %s: %w", ErrNoAnswer, method, uri, err)
 	}
 	status := res.StatusCode()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/controller"
 	"switchshore.example/switchshore/internal/election"
+	"switchshore.example/switchshore/internal/httpc"
 	"switchshore.example/switchshore/internal/peer"
 	"switchshore.example/switchshore/internal/store"
 	"switchshore.example/switchshore/internal/tuning"
@@ -34,6 +35,7 @@
 	store    *store.Client
 	cloud    *cloud.Client
 	hub      *peer.Hub
+	workers  *httpc.Pool
 	grace    time.Duration
 
 	// mu guards the picture; nothing is sent or awaited under it.
@@ -58,6 +60,7 @@
 		store:    store.NewClient(c.Services.State, c.Params.State, len(c.Peers)+1),
 		cloud:    cloud.NewClient(c.Services.Cloud, c.Params.Cloud),
 		hub:      peer.NewHub(log, c.Peers),
+		workers:  httpc.NewPool(tuning.DirectConnections),
 		grace:    controller.Grace(c.Params.Workers),
 		tick:     make(chan struct{}, 1),
 		write:    make(chan struct{}, 1),
@@ -325,8 +328,18 @@
 		if authority {
 			todo = p.Plan(now)
 		}
+		var direct []*controller.DirectCall
+		if authority {
+			direct = p.Direct(now)
+		}
 		counts := p.Counts()
 		n.mu.Unlock()
+		for _, call := range direct {
+			calls.Go(func() error {
+				n.callWorker(ctx, p, call)
+				return nil
+			})
+		}
 		if counts.Writes > 0 {
 			n.wake(n.write)
 		}
@@ -377,6 +390,23 @@
 	}
 }
 
+// callWorker carries one direct call to a worker.
+func (n *Node) callWorker(ctx context.Context, p *controller.Controller, call *controller.DirectCall) {
+	var r wire.Report
+	outcome := controller.DirectAnswered
+	status, err := n.workers.Do(ctx, call.Addr, tuning.DirectTimeout, http.MethodPost, wire.PathCommands, call.Request, &r)
+	switch {
+	case errors.Is(err, httpc.ErrNotSent):
+		outcome = controller.DirectNever
+	case err != nil || status != http.StatusOK && status != http.StatusConflict:
+		outcome = controller.DirectUnknown
+	}
+	n.mu.Lock()
+	p.DirectDone(time.Now(), call, outcome, &r)
+	n.mu.Unlock()
+	n.wake(n.tick)
+}
+
 func (n *Node) typesLoop(ctx context.Context, p *controller.Controller) error {
 	for {
 		types, err := n.cloud.Types(ctx)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -113,7 +113,6 @@
 // Report is the worker's next report.
 func (w *Worker) Report() *wire.Report {
 	w.Seq++
-	w.Changed = false
 	r := &wire.Report{
 		Machine: w.ID, Addr: w.Offer.Addr, Type: w.Offer.Type, Zone: w.Offer.Zone, Spot: w.Offer.Spot,
 		Session: w.Session, Seq: w.Seq, Token: w.Token, NoticeS: w.Notice, Tasks: []wire.TaskReport{},
@@ -139,6 +138,17 @@
 	w.Execute(now, a.Commands)
 }
 
+// Commands takes in a direct request: executed if token and session match.
+func (w *Worker) Commands(now time.Time, r wire.CommandRequest) {
+	if r.Token < w.Token || r.Session != w.Session {
+		return
+	}
+	if r.Token > w.Token {
+		w.Token = r.Token
+	}
+	w.Execute(now, r.Commands)
+}
+
 // Execute runs commands in order.
 func (w *Worker) Execute(now time.Time, commands []wire.Command) {
 	for _, c := range commands {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -386,6 +386,9 @@
 		for _, call := range p.Plan(now) {
 			w.call(n, p, call)
 		}
+		for _, call := range p.Direct(now) {
+			w.direct(n, p, call)
+		}
 	}
 	w.after(w.between(30, 120), func() { w.tick(n, p) })
 }
@@ -430,6 +433,46 @@
 	})
 }
 
+// direct carries a direct call to a worker; it may come minutes late.
+func (w *World) direct(n *node, p *controller.Controller, call *controller.DirectCall) {
+	done := func(d time.Duration, o controller.DirectOutcome, r *wire.Report) {
+		w.after(d, func() {
+			if n.picture == p {
+				p.DirectDone(w.clock(n), call, o, r)
+			}
+		})
+	}
+	deliver := func() *wire.Report {
+		m := w.workers[call.Machine]
+		if m == nil {
+			return nil
+		}
+		m.Commands(w.now, call.Request)
+		return m.Report()
+	}
+	m := w.workers[call.Machine]
+	switch {
+	case m == nil:
+		done(tuning.DirectTimeout, controller.DirectNever, nil)
+	case w.now.Before(m.cutUntil) || w.now.Before(m.hung) || w.troubled() && w.chance(0.05):
+		if w.chance(0.3) {
+			done(tuning.DirectTimeout, controller.DirectNever, nil)
+			return
+		}
+		late := max(m.cutUntil.Sub(w.now), m.hung.Sub(w.now), 0) + w.between(0, 60_000)
+		w.after(late, func() { deliver() })
+		done(tuning.DirectTimeout, controller.DirectUnknown, nil)
+	default:
+		w.after(w.between(1, 20), func() {
+			if r := deliver(); r != nil {
+				done(w.between(1, 100), controller.DirectAnswered, r)
+			} else {
+				done(tuning.DirectTimeout, controller.DirectUnknown, nil)
+			}
+		})
+	}
+}
+
 func (w *World) list(n *node, p *controller.Controller) {
 	if n.picture != p {
 		return
@@ -490,6 +533,7 @@
 		return
 	}
 	r := m.Report()
+	m.Changed = false
 	sent := w.now
 	m.lastSent = sent
 	m.inFlight = true
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -130,6 +130,20 @@
 	MinimumEstimate = 1.0
 )
 
+// Direct commands.
+const (
+	// DirectTimeout bounds a direct call; a worker answers at once.
+	DirectTimeout = 1 * time.Second
+	// DirectPause keeps a machine to answers to reports after a direct call
+	// that got no answer.
+	DirectPause = 10 * time.Second
+	// DirectConnections bounds the connections to one worker.
+	DirectConnections = 2
+	// FenceParts is the part of cancel_s (one over it) after which a machine
+	// is released that may still get a late start of an ended job.
+	FenceParts = 3
+)
+
 // Machines.
 const (
 	// SilentReports is how many report intervals without a report make a
