--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -120,7 +120,10 @@
 
 // Counts sums the picture up for logs.
 type Counts struct {
-	Jobs, Ready, Held, Machines, Up, Writes int
+	Jobs, Ready, Held, Machines, Up, Spot, Writes int
+	// UsedCPUs may be in use, of the CPUs of machines that are up; WantedCPUs
+	// are those of ready tasks.
+	CPUs, UsedCPUs, WantedCPUs float64
 }
 
 // Counts returns the sums.
@@ -128,11 +131,17 @@
 	n := Counts{Jobs: len(c.jobs), Machines: len(c.machines), Writes: c.writes.len()}
 	for _, j := range c.jobs {
 		n.Ready += len(j.ready)
+		n.WantedCPUs += float64(len(j.ready)) * j.CPUs
 		n.Held += j.held
 	}
 	for _, m := range c.machines {
 		if m.up && !m.releasing {
 			n.Up++
+			n.CPUs += m.total.CPUs
+			n.UsedCPUs += m.total.CPUs - m.free.CPUs
+			if m.spot {
+				n.Spot++
+			}
 		}
 	}
 	return n
