Rent by each job's slack, count slots, return idle machines sooner

Cause: one planning horizon of 40 s rented for patient work as for pressing work, and tasks longer than it got less than a machine's slots.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -290,16 +290,12 @@
 func (c *Controller) planInput(now time.Time) provision.Input {
 	in := provision.Input{
 		Types:       c.offers,
-		HorizonS:    tuning.PlanHorizon.Seconds(),
 		KeepIdle:    tuning.IdleKeep,
 		MaxMachines: c.operator.MaxMachines,
 		Refused: func(o provision.Offer) bool {
 			return now.Before(c.refused[o])
 		},
 	}
-	if c.operator.HorizonS > 0 {
-		in.HorizonS = c.operator.HorizonS
-	}
 	if c.operator.KeepIdleS > 0 {
 		in.KeepIdle = seconds(c.operator.KeepIdleS)
 	}
@@ -311,7 +307,7 @@
 		t := c.types[m.typ]
 		p := provision.Machine{
 			ID: m.id, Offer: provision.Offer{Type: m.typ, Zone: m.zone, Spot: m.spot},
-			Total: m.total, Open: !m.draining && m.noticeEnds.IsZero() && !(m.up && c.silent(now, m)),
+			Total: m.total, Free: m.free, Open: !m.draining && m.noticeEnds.IsZero() && !(m.up && c.silent(now, m)),
 			Idle: len(m.attempts) == 0 && m.up && m.confirmed, IdleFor: now.Sub(m.idleFrom), Price: t.Price,
 		}
 		if m.spot {
@@ -330,7 +326,7 @@
 		t := c.types[r.offer.Type]
 		for range r.count {
 			in.Machines = append(in.Machines, provision.Machine{
-				Offer: r.offer, Total: resources(t), Open: true, ReadyInS: t.BootS,
+				Offer: r.offer, Total: resources(t), Free: resources(t), Open: true, ReadyInS: t.BootS,
 			})
 		}
 	}
@@ -351,7 +347,7 @@
 			continue
 		}
 		in.Demand = append(in.Demand, provision.Demand{
-			Tasks: n, Limit: n, Need: j.need, EstimateS: r.EstimateS,
+			Tasks: n, HorizonS: c.horizon(now, j), Need: j.need, EstimateS: r.EstimateS,
 			Types: j.Types, Zone: j.Zone, Spot: j.Spot,
 		})
 	}
@@ -360,6 +356,46 @@
 	return in
 }
 
+// horizon is the time within which a job's tasks should begin: a part of its
+// slack, so that pressing work makes the planner rent and patient work waits
+// for the machines there are.
+func (c *Controller) horizon(now time.Time, j *job) float64 {
+	if c.operator.HorizonS > 0 {
+		return c.operator.HorizonS
+	}
+	slack, ok := c.slack(now, j)
+	if !ok {
+		return tuning.PlanHorizon.Seconds()
+	}
+	return min(max(slack*tuning.PlanSlack, tuning.PlanHorizonMin.Seconds()), tuning.PlanHorizonMax.Seconds())
+}
+
+// slack is the time that may pass before a job can no longer be in time, by
+// its deadline and its class's objectives: of those it can still meet the
+// nearest. It is false if there is none.
+func (c *Controller) slack(now time.Time, j *job) (float64, bool) {
+	spent := now.Sub(j.since).Seconds() + c.estimate(j)
+	best, found := 0.0, false
+	due := func(at float64) {
+		if s := at - spent; s >= 0 && (!found || s < best) {
+			best, found = s, true
+		}
+	}
+	if j.DeadlineS != nil {
+		due(*j.DeadlineS)
+	}
+	for _, o := range c.params.Objectives {
+		switch {
+		case o.Class != j.Class:
+		case o.Kind == "deadline" && j.DeadlineS != nil:
+			due(*j.DeadlineS * max(o.Times, 1))
+		case o.Kind == "finished" && o.WithinS > 0:
+			due(o.WithinS)
+		}
+	}
+	return best, found
+}
+
 // smooth keeps an exponentially weighted mean of the CPUs in use.
 func (c *Controller) smooth(now time.Time, cpus float64) {
 	if c.reserved.IsZero() {
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -3,6 +3,7 @@
 package provision
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -27,9 +28,7 @@
 	Types     []string
 	Zone      string
 	Spot      bool
-	// Limit is how many of the tasks the team's limit lets run at once.
-	Limit int
-	// HorizonS overrides the planning horizon for pressing work, 0 for none.
+	// HorizonS is the time within which the tasks should begin.
 	HorizonS float64
 }
 
@@ -38,6 +37,7 @@
 	ID    string
 	Offer Offer
 	Total sched.Resources
+	Free  sched.Resources
 	// BusyS is the work in CPU seconds still to be done there.
 	BusyS float64
 	// ReadyInS is the time until a booting machine is expected to be up.
@@ -60,8 +60,7 @@
 	Machines []Machine
 	Types    []wire.MachineType
 	// Refused tells which offers had no capacity just now.
-	Refused  func(Offer) bool
-	HorizonS float64
+	Refused func(Offer) bool
 	// Reserve is the number of CPUs wanted on top, by smoothed demand.
 	ReserveCPUs float64
 	KeepIdle    time.Duration
@@ -71,14 +70,29 @@
 
 // bin is a machine, existing or to be rented, being filled with demand.
 type bin struct {
-	offer Offer
-	total sched.Resources
-	left  float64 // CPU seconds left within the horizon
-	open  bool
+	offer  Offer
+	total  sched.Resources
+	free   sched.Resources // room that nothing takes yet
+	busyS  float64         // CPU seconds of work given to it
+	readyS float64
+	open   bool
+}
+
+// take gives the bin as many of the tasks as it can start at once or begin
+// within the horizon, and returns how many.
+func (b *bin) take(d Demand, tasks int, horizonS float64) int {
+	each := max(d.EstimateS, tuning.MinimumEstimate) * d.Need.CPUs
+	left := b.total.CPUs*usable(b.total, d.Need)*(horizonS-min(b.readyS, horizonS/2)) - b.busyS
+	n := max(slots(b.free, d.Need), int(left/each))
+	n = max(0, min(n, tasks))
+	b.busyS += float64(n) * each
+	b.free = b.free.Add(d.Need, -float64(n))
+	return n
 }
 
-// Make plans. It fills the demand into the machines there are, up to what
-// they can do within the horizon, and rents the cheapest offer for the rest.
+// Make plans. It fills the demand, the most pressing first, into the machines
+// there are, up to what they can begin within the horizon, and rents the
+// cheapest offer for the rest.
 func Make(in Input) Plan {
 	plan := Plan{Rent: map[Offer]int{}}
 	types := map[string]wire.MachineType{}
@@ -88,70 +102,60 @@
 	bins := make([]bin, 0, len(in.Machines))
 	openCPUs := 0.0
 	for _, m := range in.Machines {
-		b := bin{offer: m.Offer, total: m.Total, open: m.Open}
-		b.left = m.Total.CPUs*(in.HorizonS-min(m.ReadyInS, in.HorizonS*0.5)) - m.BusyS
-		bins = append(bins, b)
+		bins = append(bins, bin{offer: m.Offer, total: m.Total, free: m.Free, busyS: m.BusyS, readyS: m.ReadyInS, open: m.Open})
 		if m.Open {
 			openCPUs += m.Total.CPUs
 		}
 	}
 	offers := offersByPrice(in.Types)
 	count := len(in.Machines)
-	rented := 0.0
+	rented := false
+	sort.SliceStable(in.Demand, func(i, k int) bool { return in.Demand[i].HorizonS < in.Demand[k].HorizonS })
 	for _, d := range in.Demand {
-		tasks := min(d.Tasks, d.Limit)
-		each := max(d.EstimateS, tuning.MinimumEstimate) * d.Need.CPUs
+		tasks := d.Tasks
 		for i := range bins {
 			b := &bins[i]
-			if tasks == 0 {
-				break
+			if tasks > 0 && b.open && allowed(d, b.offer) && b.total.Fits(d.Need) {
+				tasks -= b.take(d, tasks, d.HorizonS)
 			}
-			if !b.open || !allowed(d, b.offer) || !b.total.Fits(d.Need) || b.left <= 0 {
-				continue
-			}
-			n := min(tasks, max(1, int(b.left*usable(b.total, d.Need)/each)))
-			tasks -= n
-			b.left -= float64(n) * each
 		}
-		for tasks > 0 {
-			if in.MaxMachines > 0 && count >= in.MaxMachines {
-				break
-			}
+		for tasks > 0 && (in.MaxMachines == 0 || count < in.MaxMachines) {
 			o, ok := cheapest(offers, d, types, in.Refused, plan.Rent)
 			if !ok {
 				break
 			}
-			t := types[o.Type]
-			b := bin{offer: o, total: total(t), open: true}
-			b.left = b.total.CPUs * in.HorizonS
-			n := min(tasks, max(1, int(b.left*usable(b.total, d.Need)/each)))
-			tasks -= n
-			b.left -= float64(n) * each
+			t := total(types[o.Type])
+			b := bin{offer: o, total: t, free: t, open: true}
+			tasks -= max(1, b.take(d, tasks, d.HorizonS))
 			bins = append(bins, b)
 			plan.Rent[o]++
 			count++
-			rented += b.total.CPUs
+			rented = true
 		}
 	}
-	if rented == 0 {
+	if !rented {
 		plan.Return = surplus(in, openCPUs)
 	}
 	return plan
 }
 
+// slots is how many tasks of this shape fit side by side.
+func slots(room, need sched.Resources) int {
+	n := math.Inf(1)
+	for _, x := range [][2]float64{{room.CPUs, need.CPUs}, {room.MemoryGB, need.MemoryGB}, {room.GPUs, need.GPUs}} {
+		if x[1] > 0 {
+			n = min(n, math.Floor(x[0]/x[1]+1e-6))
+		}
+	}
+	return int(max(0, min(n, wire.MaxTasks)))
+}
+
 // usable is the share of a machine's CPUs that tasks of this shape can use.
 func usable(total, need sched.Resources) float64 {
-	if need.CPUs <= 0 || total.CPUs <= 0 {
-		return 1
-	}
-	slots := int(total.CPUs/need.CPUs + 1e-6)
-	if need.MemoryGB > 0 {
-		slots = min(slots, int(total.MemoryGB/need.MemoryGB+1e-6))
-	}
-	if need.GPUs > 0 {
-		slots = min(slots, int(total.GPUs/need.GPUs+1e-6))
+	if total.CPUs <= 0 {
+		return 0
 	}
-	return float64(slots) * need.CPUs / total.CPUs
+	return min(1, float64(slots(total, need))*need.CPUs/total.CPUs)
 }
 
 func total(t wire.MachineType) sched.Resources {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -156,15 +156,23 @@
 	// machine that never reported is returned.
 	BootPatience = 3.5
 	// IdleKeep is how long an idle machine is kept when it isn't needed.
-	IdleKeep = 12 * time.Second
+	IdleKeep = 4 * time.Second
 	// PlanEvery paces the provisioning plan.
 	PlanEvery = 1 * time.Second
-	// PlanHorizon is the time within which the work at hand should be done
-	// with the machines at hand; work beyond it makes the planner rent.
-	PlanHorizon = 40 * time.Second
+	// PlanHorizon is the time within which waiting work should begin on the
+	// machines at hand; work beyond it makes the planner rent. It holds for
+	// jobs without a time to meet, and for those too late for any.
+	PlanHorizon = 60 * time.Second
+	// PlanSlack is the part of a job's slack taken as its horizon; the rest
+	// is for boots and wrong estimates.
+	PlanSlack = 0.7
+	// PlanHorizonMin and PlanHorizonMax bound that horizon: below, no boot
+	// would help in time; above, the forecast is worth little.
+	PlanHorizonMin = 20 * time.Second
+	PlanHorizonMax = 150 * time.Second
 	// DemandDecay is the time constant of the smoothed demand that keeps
 	// machines through short lulls.
-	DemandDecay = 60 * time.Second
+	DemandDecay = 20 * time.Second
 	// NoticeSlack is added to a task's save time when a spot notice leaves
 	// only just enough.
 	NoticeSlack = 5 * time.Second
