--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -29,8 +29,9 @@
 	DirectUnknown
 )
 
-// Direct lists the calls to be made now: starts whose record is durable, to
-// machines heard of lately, so that they need not wait for the next report.
+// Direct lists the calls to be made now: starts whose record is durable, and
+// stops, to machines heard of lately, so that they need not wait for the next
+// report.
 func (c *Controller) Direct(now time.Time) []*DirectCall {
 	if !c.orders {
 		return nil
@@ -42,8 +43,17 @@
 			continue
 		}
 		call := &DirectCall{Machine: m.id, Addr: m.addr, Request: wire.CommandRequest{Token: c.term, Session: m.session}}
+		stops := 0
 		for _, k := range sortedTasks(m) {
 			a := m.attempts[k]
+			if a.stop && a.state >= fetching && !a.stopSent {
+				// A late stop does no harm: attempts are never reused.
+				a.stopSent = true
+				grace := a.grace
+				call.Request.Commands = append(call.Request.Commands, wire.Command{Op: wire.OpStop, Task: wire.TaskName(k.job.ID, int(k.index)), Attempt: a.launch, GraceS: &grace})
+				stops++
+				continue
+			}
 			if a.state != ordered || a.stop || a.direct || a.sentSeq != 0 || k.job.state != jobActive || len(call.attempts) >= tuning.AnswerCommands {
 				continue
 			}
@@ -51,7 +61,7 @@
 			call.attempts = append(call.attempts, a)
 			call.Request.Commands = append(call.Request.Commands, wire.Command{Op: wire.OpStart, Task: wire.TaskName(k.job.ID, int(k.index)), Attempt: a.launch})
 		}
-		if len(call.attempts) > 0 {
+		if len(call.attempts)+stops > 0 {
 			m.calling = true
 			calls = append(calls, call)
 		}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -73,7 +73,9 @@
 	}
 	if len(starts) == tuning.PassStarts {
 		c.changed = true
+		return
 	}
+	c.preempt(now, ready, byID)
 }
 
 // readyJobs lists jobs with tasks to place, oldest first.
--- /dev/null
+++ b/internal/controller/preempt.go
@@ -0,0 +1,133 @@
+package controller
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"switchshore.example/switchshore/internal/sched"
+	"switchshore.example/switchshore/internal/tuning"
+)
+
+// victim is a running task that could make room.
+type victim struct {
+	machine *machine
+	key     taskKey
+	attempt *attempt
+	lostS   float64
+}
+
+// lost is the progress in seconds that stopping the attempt at once throws
+// away: all since its last checkpoint.
+func lost(now time.Time, j *job, a *attempt) float64 {
+	ran := now.Sub(a.runningAt).Seconds()
+	if j.CheckpointS > 0 {
+		return math.Mod(ran, j.CheckpointS)
+	}
+	return ran
+}
+
+// preempt makes room for tasks that found none: it stops tasks of a lower
+// priority that lose little by it.
+func (c *Controller) preempt(now time.Time, ready []*sched.Ready, byID map[string]*job) {
+	var waiting []*sched.Ready
+	lowest := 0
+	for _, r := range ready {
+		j := byID[r.Job]
+		if len(j.ready) > 0 && j.failures == 0 {
+			waiting = append(waiting, r)
+		}
+	}
+	if len(waiting) == 0 {
+		return
+	}
+	sort.SliceStable(waiting, func(i, k int) bool { return waiting[i].Level < waiting[k].Level })
+	for _, j := range c.jobs {
+		if j.running > 0 {
+			lowest = max(lowest, j.level)
+		}
+	}
+	if waiting[0].Level >= lowest {
+		return
+	}
+	// Room that is coming: what stopping tasks leave, and soon-ending ones.
+	coming := map[*machine]sched.Resources{}
+	candidates := map[*machine][]victim{}
+	machines := c.sortedMachines()
+	for _, m := range machines {
+		if !c.open(now, m) {
+			continue
+		}
+		coming[m] = m.free
+		for _, k := range sortedTasks(m) {
+			a := m.attempts[k]
+			switch {
+			case a.stop, a.state == saving, a.state == running && c.remaining(now, k.job, a) < tuning.PreemptPatience.Seconds():
+				coming[m] = coming[m].Add(k.job.need, 1)
+			case a.state == running:
+				if l := lost(now, k.job, a); l <= tuning.PreemptLoss.Seconds() && k.job.CheckpointS > 0 {
+					candidates[m] = append(candidates[m], victim{m, k, a, l})
+				}
+			}
+		}
+		sort.SliceStable(candidates[m], func(i, k int) bool { return candidates[m][i].lostS < candidates[m][k].lostS })
+	}
+	stops := 0
+	for _, r := range waiting {
+		j := byID[r.Job]
+		t := c.teams[j.Team]
+		if t == nil || r.Level >= lowest {
+			continue
+		}
+		tasks := min(len(j.ready), int(max(0, t.CPUsMax-t.used.CPUs)/max(j.CPUs, 1e-9)))
+		for ; tasks > 0 && stops < tuning.PreemptStops; tasks-- {
+			best, victims := c.cheapestRoom(r, machines, coming, candidates)
+			if best == nil {
+				break
+			}
+			for _, v := range victims {
+				v.attempt.stop, v.attempt.grace = true, 0
+				coming[best] = coming[best].Add(v.key.job.need, 1)
+				stops++
+				c.orders = true
+			}
+			coming[best] = coming[best].Add(j.need, -1)
+		}
+	}
+	if stops > 0 {
+		c.log.Debug().Int("tasks", stops).Msg("preempted")
+	}
+}
+
+// cheapestRoom finds the machine that can make room for one task at the least
+// loss, and whom to stop there; no one, if room is coming anyway.
+func (c *Controller) cheapestRoom(r *sched.Ready, machines []*machine, coming map[*machine]sched.Resources, candidates map[*machine][]victim) (*machine, []victim) {
+	var best *machine
+	var victims []victim
+	least := math.Inf(1)
+	for _, m := range machines {
+		room, ok := coming[m]
+		if !ok || m.avoid[r.Job] || !r.Allowed(&sched.Machine{Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total}) {
+			continue
+		}
+		if room.Fits(r.Need) {
+			return m, nil
+		}
+		var chosen []victim
+		sum := 0.0
+		for _, v := range candidates[m] {
+			if v.attempt.stop || v.key.job.level <= r.Level {
+				continue
+			}
+			chosen = append(chosen, v)
+			sum += v.lostS * v.key.job.CPUs
+			if room = room.Add(v.key.job.need, 1); room.Fits(r.Need) {
+				if sum < least {
+					best, victims, least = m, chosen, sum
+				}
+				break
+			}
+		}
+	}
+	return best, victims
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -130,6 +130,18 @@
 	MinimumEstimate = 1.0
 )
 
+// Preemption.
+const (
+	// PreemptPatience is how long a waiting task rather waits for a running
+	// one to end by itself.
+	PreemptPatience = 3 * time.Second
+	// PreemptLoss is the most progress, since its last checkpoint, that a
+	// task may lose by being stopped for a higher priority.
+	PreemptLoss = 8 * time.Second
+	// PreemptStops bounds the tasks stopped in one pass.
+	PreemptStops = 16
+)
+
 // Direct commands.
 const (
 	// DirectTimeout bounds a direct call; a worker answers at once.
