--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,7 @@
 		write:    make(chan struct{}, 1),
 	}
 	n.hub.Self = n.beat
+	n.hub.Superseded = n.superseded
 	n.hub.Serve = n.serve
 	return n
 }
@@ -104,6 +105,17 @@
 	return b
 }
 
+// superseded ends this node's term when a later one is known: its workers
+// would otherwise stay here for all of the grace, and out of the successor's
+// reach.
+func (n *Node) superseded(term uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leadership != nil && n.leadership.Term < term {
+		n.leadership.End()
+	}
+}
+
 // Healthy reports whether requests can be taken: a leader is within reach,
 // or was a moment ago.
 func (n *Node) Healthy() bool {
@@ -213,6 +225,8 @@
 	}
 	answer, entitled := p.Report(now, r, authority)
 	if !entitled {
+		// The worker has seen a later term.
+		l.End()
 		return peer.Answer{}, false
 	}
 	data, _ := json.Marshal(answer)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -71,6 +71,8 @@
 	Log zerolog.Logger
 	// Self tells this node's own beat.
 	Self func() Beat
+	// Superseded is told the term of a peer that leads with authority.
+	Superseded func(term uint64)
 	// Serve answers a peer's call.
 	Serve func(context.Context, Call) Answer
 
@@ -145,6 +147,9 @@
 	h.mu.Lock()
 	h.views[b.Node] = view{*b, time.Now()}
 	h.mu.Unlock()
+	if b.Leads {
+		h.Superseded(b.Term)
+	}
 }
 
 // HearsLeader reports whether a peer with authority is directly in reach.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -22,12 +22,12 @@
 const (
 	// LeaderTTL is the life of the leader's lease in the state service: long
 	// enough for a few slow renewals, short enough for a quick succession.
-	LeaderTTL = 3 * time.Second
+	LeaderTTL = 2 * time.Second
 	// RenewEvery paces renewals: four tries within one life.
-	RenewEvery = 700 * time.Millisecond
+	RenewEvery = 450 * time.Millisecond
 	// RenewTimeout bounds one renewal; the state service seldom takes more
-	// than a few hundred milliseconds.
-	RenewTimeout = 1 * time.Second
+	// than a few hundred milliseconds, and a second try must fit in.
+	RenewTimeout = 700 * time.Millisecond
 	// CampaignJitter spreads simultaneous campaigns of several nodes.
 	CampaignJitter = 60 * time.Millisecond
 	// CampaignRetry paces campaigns and reads that failed.
