Work waits longer for dearer machines; order within a priority by slack

Cause: deyal's price: ordinary machines at 2.7 times the spot price were rented for work that could wait.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -98,7 +98,7 @@
 	for _, j := range list {
 		r := &sched.Ready{
 			Job: j.ID, Team: j.Team, Level: j.level, Guaranteed: guaranteed[j],
-			Urgency: j.urgency(now), Tasks: len(j.ready), Need: j.need,
+			Urgency: c.urgency(now, j), Tasks: len(j.ready), Need: j.need,
 			EstimateS: c.estimate(j), Image: j.Image, ImageGB: j.ImageGB,
 			Types: j.Types, Zone: j.Zone, OneZone: j.OneZone, Spread: j.Spread,
 			Spot: j.Spot, Total: j.Tasks, InZone: map[string]int{},
@@ -116,13 +116,12 @@
 	return ready, byID
 }
 
-// urgency is the time left until the job's deadline, or less its age.
-func (j *job) urgency(now time.Time) float64 {
-	age := now.Sub(j.since).Seconds()
-	if j.DeadlineS != nil {
-		return *j.DeadlineS - age
+// urgency is the slack of a job; jobs without any follow, oldest first.
+func (c *Controller) urgency(now time.Time, j *job) float64 {
+	if slack, ok := c.slack(now, j); ok {
+		return slack
 	}
-	return -age
+	return tuning.LateSlack - now.Sub(j.since).Seconds()
 }
 
 // guaranteed tells which unfinished jobs fit into their team's guarantee
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -113,6 +113,7 @@
 	sort.SliceStable(in.Demand, func(i, k int) bool { return in.Demand[i].HorizonS < in.Demand[k].HorizonS })
 	for _, d := range in.Demand {
 		tasks := d.Tasks
+		waited := false
 		for i := range bins {
 			b := &bins[i]
 			if tasks > 0 && b.open && allowed(d, b.offer) && b.total.Fits(d.Need) {
@@ -120,10 +121,22 @@
 			}
 		}
 		for tasks > 0 && (in.MaxMachines == 0 || count < in.MaxMachines) {
-			o, ok := cheapest(offers, d, types, in.Refused, plan.Rent)
+			o, price, ok := cheapest(offers, d, types, in.Refused, plan.Rent)
 			if !ok {
 				break
 			}
+			if patience := d.HorizonS * math.Sqrt(price/offers[0].price); price > offers[0].price && !waited {
+				// The dearer the offer, the longer the work waits for the
+				// machines there are.
+				waited = true
+				for i := range bins {
+					b := &bins[i]
+					if tasks > 0 && b.open && allowed(d, b.offer) && b.total.Fits(d.Need) {
+						tasks -= b.take(d, tasks, patience)
+					}
+				}
+				continue
+			}
 			t := total(types[o.Type])
 			b := bin{offer: o, total: t, free: t, open: true}
 			tasks -= max(1, b.take(d, tasks, d.HorizonS))
@@ -188,7 +201,7 @@
 
 // cheapest picks the cheapest offer that the demand allows and that was not
 // refused just now; among equals the one rented least, to spread over zones.
-func cheapest(offers []priced, d Demand, types map[string]wire.MachineType, refused func(Offer) bool, rent map[Offer]int) (Offer, bool) {
+func cheapest(offers []priced, d Demand, types map[string]wire.MachineType, refused func(Offer) bool, rent map[Offer]int) (Offer, float64, bool) {
 	var best *priced
 	for i := range offers {
 		o := &offers[i]
@@ -203,9 +216,9 @@
 		}
 	}
 	if best == nil {
-		return Offer{}, false
+		return Offer{}, 0, false
 	}
-	return best.Offer, true
+	return best.Offer, best.price, true
 }
 
 // surplus picks idle machines to return, dearest first, as long as the rest
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -69,7 +69,8 @@
 	Team       string
 	Level      int
 	Guaranteed bool
-	// Urgency orders jobs of one level whose speedups are equal: lower first.
+	// Urgency orders jobs of one level, lower first, in steps within which
+	// the speedup decides: the seconds that may pass before the job is late.
 	Urgency   float64
 	Tasks     int
 	Need      Resources
@@ -204,18 +205,18 @@
 	return a.ID < b.ID
 }
 
-// before orders candidates of one level: the larger speedup; teams within
-// their guarantee before borrowers, then the more urgent job.
+// before orders candidates of one level: teams within their guarantee before
+// borrowers, the more urgent job, then the larger speedup.
 func before(a, b *Ready) bool {
 	if a.Guaranteed != b.Guaranteed {
 		return a.Guaranteed
 	}
+	if ua, ub := math.Floor(a.Urgency/tuning.UrgencyStep), math.Floor(b.Urgency/tuning.UrgencyStep); ua != ub {
+		return ua < ub
+	}
 	if math.Abs(a.score-b.score) > epsilon {
 		return a.score > b.score
 	}
-	if a.Urgency != b.Urgency {
-		return a.Urgency < b.Urgency
-	}
 	return a.Job < b.Job
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -118,6 +118,12 @@
 	RetryMax = 60 * time.Second
 	// UnknownPause is the pause after a worker found a job not uploaded yet.
 	UnknownPause = 3 * time.Second
+	// UrgencyStep is the difference in slack, in seconds, below which jobs of
+	// one priority count as equally urgent and the speedup decides.
+	UrgencyStep = 20.0
+	// LateSlack is the slack assumed for jobs without a time to meet and for
+	// those too late for any, in seconds: behind all that can be in time.
+	LateSlack = 1e6
 	// FullPause keeps a machine that refused a start free of new ones.
 	FullPause = 3 * time.Second
 	// FaultyJobs is the number of different jobs whose tasks must fail on a
