--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -93,12 +93,16 @@
 		return list[i].ID < list[k].ID
 	})
 	guaranteed := c.guaranteed()
+	cpus := 0.0
+	for _, m := range c.machines {
+		cpus += m.total.CPUs
+	}
 	byID := make(map[string]*job, len(list))
 	ready := make([]*sched.Ready, 0, len(list))
 	for _, j := range list {
 		r := &sched.Ready{
 			Job: j.ID, Team: j.Team, Level: j.level, Guaranteed: guaranteed[j],
-			Urgency: c.urgency(now, j), Tasks: len(j.ready), Need: j.need,
+			Urgency: c.urgency(now, j, cpus), Tasks: len(j.ready), Need: j.need,
 			EstimateS: c.estimate(j), Image: j.Image, ImageGB: j.ImageGB,
 			Types: j.Types, Zone: j.Zone, OneZone: j.OneZone, Spread: j.Spread,
 			Spot: j.Spot, Total: j.Tasks, InZone: map[string]int{},
@@ -116,10 +120,14 @@
 	return ready, byID
 }
 
-// urgency is the slack of a job; jobs without any follow, oldest first.
-func (c *Controller) urgency(now time.Time, j *job) float64 {
+// urgency orders jobs of one priority: by slack, and by the time that all
+// machines together would need for the rest of the job, as under a backlog
+// more jobs end in time when the small ones go first. Jobs without a time to
+// meet follow.
+func (c *Controller) urgency(now time.Time, j *job, cpus float64) float64 {
+	work := float64(j.Tasks-j.done.Len()) * j.CPUs * c.estimate(j) / max(cpus, 1)
 	if slack, ok := c.slack(now, j); ok {
-		return slack
+		return slack + tuning.SizeWeight*work
 	}
 	return tuning.LateSlack - now.Sub(j.since).Seconds()
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -121,6 +121,9 @@
 	// UrgencyStep is the difference in slack, in seconds, below which jobs of
 	// one priority count as equally urgent and the speedup decides.
 	UrgencyStep = 20.0
+	// SizeWeight is what a second of work for all machines counts against a
+	// job, in seconds of slack.
+	SizeWeight = 6.0
 	// LateSlack is the slack assumed for jobs without a time to meet and for
 	// those too late for any, in seconds: behind all that can be in time.
 	LateSlack = 1e6
