--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -234,7 +234,8 @@
 	var out []string
 	for _, m := range idle {
 		if m.Open {
-			if openCPUs-m.Total.CPUs < in.ReserveCPUs {
+			// A smoothed demand never quite reaches zero: less than a CPU is none.
+			if openCPUs-m.Total.CPUs < in.ReserveCPUs-1 {
 				continue
 			}
 			openCPUs -= m.Total.CPUs
