--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,193 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/node"
+	"switchshore.example/switchshore/internal/standin"
+	"switchshore.example/switchshore/wire"
+)
+
+const submission = `{"ref":"%s","muster":"c","crew":"blue","rig":"batch","rank":"high","oars":3,
+ "cores":2,"cards":0,"memoryGb":1,"hull":"img","imageGb":0.1,"builds":null,"berth":null,
+ "together":false,"apart":false,"driftwood":true,"reckonS":0.1,"loglineS":0,"stowS":0,"tideS":null}`
+
+// cluster is a few whole nodes on loopback with stand-ins around them.
+type cluster struct {
+	t     *testing.T
+	addrs []string
+	stop  []context.CancelFunc
+	ended []chan struct{}
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+func freeAddr(t *testing.T) string {
+	ln := listen(t)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func start(t *testing.T, size int) *cluster {
+	services := standin.NewServer(wire.MachineType{
+		Name: "std-8", CPUs: 8, MemoryGB: 32, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 0.1, Zones: []string{"a"},
+	})
+	ln := listen(t)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() { _ = services.Serve(ln) }()
+	c := &cluster{t: t}
+	var peers []config.Peer
+	for i := range size {
+		c.addrs = append(c.addrs, freeAddr(t))
+		peers = append(peers, config.Peer{Name: fmt.Sprint("n", i), Addr: freeAddr(t)})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	services.Booted = func(row wire.ListedMachine) { work(ctx, row, c.addrs) }
+	for i := range size {
+		cfg := &config.Config{
+			Name: peers[i].Name, Zone: "a", Listen: c.addrs[i], PeerListen: peers[i].Addr,
+			Services: config.Services{Cloud: ln.Addr().String(), State: ln.Addr().String()},
+			Params: config.Params{
+				Teams:   []config.Team{{Name: "blue", CPUs: 8, CPUsMax: 16}},
+				Workers: config.Workers{ReportS: 0.3, LeaseS: 5, CancelS: 20},
+				State:   config.State{RPS: 500, WriteRPS: 300, ValueKB: 16, TxnOps: 48},
+				Cloud:   config.Cloud{RPS: 50, ListLagS: 0.1},
+			},
+		}
+		for k, p := range peers {
+			if k != i {
+				cfg.Peers = append(cfg.Peers, p)
+			}
+		}
+		ctx, stop := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		c.stop, c.ended = append(c.stop, stop), append(c.ended, ended)
+		go func() {
+			defer close(ended)
+			if err := node.New(zerolog.Nop(), cfg, &config.Operator{}).Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+				t.Log(err)
+			}
+		}()
+	}
+	return c
+}
+
+// work plays one worker that finishes every task at once.
+func work(ctx context.Context, row wire.ListedMachine, nodes []string) {
+	r := wire.Report{Machine: row.Name, Type: row.Type, Zone: row.Zone, Spot: row.Spot, Session: 1, Tasks: []wire.TaskReport{}}
+	for at := 0; ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+		r.Seq++
+		data, _ := json.Marshal(r)
+		status, body := send(nodes[at], fasthttp.MethodPost, wire.PathReport, string(data))
+		var a wire.ReportAnswer
+		if status != 200 || json.Unmarshal(body, &a) != nil {
+			at = (at + 1) % len(nodes)
+			continue
+		}
+		r.Token = a.Token
+		for _, c := range a.Commands {
+			switch c.Op {
+			case wire.OpStart:
+				r.Tasks = append(r.Tasks, wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskExited, Why: wire.WhyDone})
+			case wire.OpForget:
+				for i, t := range r.Tasks {
+					if t.Task == c.Task && t.Attempt == c.Attempt {
+						r.Tasks = append(r.Tasks[:i], r.Tasks[i+1:]...)
+						break
+					}
+				}
+			}
+		}
+	}
+}
+
+func send(addr, method, path, body string) (int, []byte) {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + addr + path)
+	req.SetBodyString(body)
+	if err := fasthttp.DoTimeout(req, res, 5*time.Second); err != nil {
+		return 0, nil
+	}
+	return res.StatusCode(), append([]byte(nil), res.Body()...)
+}
+
+// until repeats a request until it gets the status and, if given, the state.
+func (c *cluster) until(addr, method, path, body string, status int, state string) {
+	c.t.Helper()
+	var got int
+	var js wire.JobStatus
+	for range 600 {
+		var data []byte
+		got, data = send(addr, method, path, body)
+		js = wire.JobStatus{}
+		_ = json.Unmarshal(data, &js)
+		if got == status && (state == "" || js.State == state) {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Fatalf("%s %s: %d %+v, want %d %s", method, path, got, js, status, state)
+}
+
+// TestWholeNodes goes the way of a user through real sockets: submission at
+// each node, the same again, done, cancellation, refusals, and the end of
+// every node in turn but the last.
+func TestWholeNodes(t *testing.T) {
+	c := start(t, 3)
+	for i, addr := range c.addrs {
+		id := fmt.Sprintf("job-%06d", i)
+		c.until(addr, "POST", wire.PathJobs, fmt.Sprintf(submission, id), 201, "")
+		c.until(addr, "POST", wire.PathJobs, fmt.Sprintf(submission, id), 200, "")
+		c.until(c.addrs[0], "GET", wire.PathJobs+"/"+id, "", 200, wire.JobDone)
+		c.until(addr, "POST", wire.PathJobs+"/"+id+"/"+wire.EndCancel, "", 200, wire.JobDone)
+	}
+	addr := c.addrs[1]
+	for _, r := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{"GET", wire.PathHealth, "", 200},
+		{"GET", wire.PathJobs + "/job-999999", "", 404},
+		{"GET", wire.PathJobs + "/else", "", 404},
+		{"GET", "/else", "", 404},
+		{"GET", wire.PathJobs, "", 405},
+		{"POST", wire.PathJobs, "{", 400},
+		{"POST", wire.PathJobs, fmt.Sprintf(submission, "else"), 400},
+		{"POST", wire.PathReport, "{}", 400},
+		{"POST", wire.PathJobs + "/job-999999/" + wire.EndCancel, "", 404},
+	} {
+		if got, body := send(addr, r.method, r.path, r.body); got != r.status {
+			t.Errorf("%s %s %.20s: %d %s, want %d", r.method, r.path, r.body, got, body, r.status)
+		}
+	}
+	for i := range 2 {
+		c.stop[i]()
+		<-c.ended[i]
+		last := c.addrs[2]
+		c.until(last, "GET", wire.PathJobs+"/job-000000", "", 200, wire.JobDone)
+		id := fmt.Sprintf("job-00001%d", i)
+		c.until(last, "POST", wire.PathJobs, fmt.Sprintf(submission, id), 201, "")
+		c.until(last, "GET", wire.PathJobs+"/"+id, "", 200, wire.JobDone)
+	}
+}
