--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -80,7 +80,7 @@
 	l.t.Helper()
 	l.seq++
 	a, ok := l.Report(l.now, &wire.Report{
-		Machine: machine, Type: "std-8", Zone: "a", Session: session, Seq: l.seq, Token: l.Term(), Tasks: tasks,
+		Machine: machine, Addr: machine + ":9", Type: "std-8", Zone: "a", Session: session, Seq: l.seq, Token: l.Term(), Tasks: tasks,
 	}, true)
 	if !ok {
 		l.t.Fatal("report refused")
@@ -339,3 +339,104 @@
 		}
 	}
 }
+
+// called brings a start for m1 into a direct call.
+func called(t *testing.T) (*leader, *controller.DirectCall, wire.TaskReport) {
+	t.Helper()
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	l.submit("job-1")
+	l.report("m1", 1)
+	l.pass(time.Second)
+	if calls := l.Direct(l.now); len(calls) != 0 {
+		t.Fatal("called before the record was durable")
+	}
+	l.commit()
+	calls := l.Direct(l.now)
+	if len(calls) != 1 || ops(calls[0].Request.Commands) != "run job-1/0" || calls[0].Request.Token != 5 || calls[0].Request.Session != 1 {
+		t.Fatalf("%+v", calls)
+	}
+	tr := wire.TaskReport{Task: "job-1/0", Attempt: calls[0].Request.Commands[0].Attempt, State: wire.TaskRunning}
+	return l, calls[0], tr
+}
+
+// TestUnansweredCallKeepsItsTask: a start that may come minutes late binds
+// the task to the machine, and is not forgotten there while it may come.
+func TestUnansweredCallKeepsItsTask(t *testing.T) {
+	l, call, tr := called(t)
+	l.DirectDone(l.now, call, controller.DirectUnknown, nil)
+	if cs := l.report("m1", 1); ops(cs) != "run job-1/0" || cs[0].Attempt != tr.Attempt {
+		t.Fatalf("want the same start again, got %s", ops(cs))
+	}
+	l.report("m1", 1)
+	l.report("m2", 1)
+	l.pass(time.Second)
+	l.commit()
+	if cs := l.report("m2", 1); len(cs) != 0 {
+		t.Fatalf("placed elsewhere: %s", ops(cs))
+	}
+	l.report("m1", 1, tr)
+	tr.State, tr.Why = wire.TaskExited, wire.WhyError
+	for range 2 {
+		if cs := l.report("m1", 1, tr); len(cs) != 0 {
+			t.Fatalf("while the start may come late: %s", ops(cs))
+		}
+	}
+	if cs := l.report("m1", 2, tr); ops(cs) != "reap job-1/0" {
+		t.Fatalf("in a new session: %q", ops(cs))
+	}
+}
+
+// TestOvertakingAnswerIsNoProof: the answer to a direct call can arrive while
+// the answer to an earlier report, with a start in it, is still on its way.
+func TestOvertakingAnswerIsNoProof(t *testing.T) {
+	l, call, _ := called(t)
+	l.DirectDone(l.now, call, controller.DirectNever, nil)
+	if cs := l.report("m1", 1); ops(cs) != "run job-1/0" {
+		t.Fatal(ops(cs))
+	}
+	l.Cancel(l.now, "job-1", func(controller.Verdict) {})
+	l.commit()
+	l.seq++
+	l.DirectDone(l.now, call, controller.DirectAnswered, &wire.Report{Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: l.seq, Token: 5})
+	l.commit()
+	if l.kept["j/job-1"] == nil {
+		t.Fatal("the task was taken for gone while its start was on its way")
+	}
+	l.report("m1", 1)
+	l.commit()
+	if l.kept["j/job-1"] != nil {
+		t.Fatal("the next report proves that the start did not run")
+	}
+}
+
+// TestLateStartOfEndedJobIsFenced: the machine is released well within the
+// time for cancellations.
+func TestLateStartOfEndedJobIsFenced(t *testing.T) {
+	l, call, _ := called(t)
+	l.DirectDone(l.now, call, controller.DirectUnknown, nil)
+	l.Cancel(l.now, "job-1", func(controller.Verdict) {})
+	l.commit()
+	l.Listed(l.now, l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+	for range 30 {
+		l.report("m1", 1)
+		l.pass(time.Second)
+		l.commit()
+		if l.kept["j/job-1"] == nil {
+			t.Fatal("taken for gone while the start may come late")
+		}
+		for _, c := range l.Plan(l.now) {
+			if c.Op == controller.CloudRelease {
+				if len(c.Release) != 1 || c.Release[0] != "m1" {
+					t.Fatal(c.Release)
+				}
+				l.Released(l.now, c.Release)
+				l.commit()
+				if l.kept["j/job-1"] != nil {
+					t.Fatal("released, and still held")
+				}
+				return
+			}
+		}
+	}
+	t.Fatal("not released")
+}
