--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -99,6 +99,15 @@
 	}
 }
 
+// fetchTime is T(f) of the job's image on the machine.
+func (c *Controller) fetchTime(m *machine, r *sched.Ready) float64 {
+	t := c.types[m.typ]
+	if _, cached := m.images[r.Image]; cached || t.FetchGBPerS <= 0 {
+		return 0
+	}
+	return r.ImageGB / t.FetchGBPerS
+}
+
 // cheapestRoom finds the machine that can make room for one task at the least
 // loss, and whom to stop there; no one, if room is coming anyway.
 func (c *Controller) cheapestRoom(r *sched.Ready, machines []*machine, coming map[*machine]sched.Resources, candidates map[*machine][]victim) (*machine, []victim) {
@@ -113,8 +122,9 @@
 		if room.Fits(r.Need) {
 			return m, nil
 		}
+		// A start on a machine without the image is late all the same.
 		var chosen []victim
-		sum := 0.0
+		sum := c.fetchTime(m, r) * r.Need.CPUs * tuning.PreemptFetchWeight
 		for _, v := range candidates[m] {
 			if v.attempt.stop || v.key.job.level <= r.Level {
 				continue
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -147,6 +147,9 @@
 	// PreemptLoss is the most progress, since its last checkpoint, that a
 	// task may lose by being stopped for a higher priority.
 	PreemptLoss = 8 * time.Second
+	// PreemptFetchWeight is what a second of image fetch counts against a
+	// second of lost progress when room is made.
+	PreemptFetchWeight = 4.0
 	// PreemptStops bounds the tasks stopped in one pass.
 	PreemptStops = 16
 )
