--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -440,3 +440,49 @@
 	}
 	t.Fatal("not released")
 }
+
+// TestTeamAtItsLimitMakesWay: a team whose patient work fills its limit stops
+// some of it for its own urgent work, as no other machine would help.
+func TestTeamAtItsLimitMakesWay(t *testing.T) {
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	patient := spec("job-1")
+	patient.Priority, patient.Tasks, patient.CPUs, patient.CheckpointS, patient.EstimateS = wire.PriorityNormal, 2, 8, 20, 300
+	l.Submit(l.now, l.now, patient, func(controller.Verdict) {})
+	l.commit()
+	lists := map[string][]wire.TaskReport{"m1": nil, "m2": nil, "m3": nil}
+	machines := []string{"m1", "m2", "m3"}
+	step := func(d time.Duration) (stops, starts string) {
+		l.pass(d)
+		l.commit()
+		for _, m := range machines {
+			for _, c := range l.report(m, 1, lists[m]...) {
+				switch c.Op {
+				case wire.OpStart:
+					starts += c.Task + " "
+					lists[m] = append(lists[m], wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning})
+				case wire.OpStop:
+					stops += c.Task + " "
+					lists[m] = nil
+				}
+			}
+		}
+		return stops, starts
+	}
+	step(time.Second)
+	if _, starts := step(time.Second); starts == "" {
+		t.Fatal("patient work did not start")
+	}
+	// On to just past the first checkpoint, where stopping loses little.
+	for range 11 {
+		step(2 * time.Second)
+	}
+	l.submit("job-2")
+	var stops, starts string
+	for range 4 {
+		a, b := step(500 * time.Millisecond)
+		stops, starts = stops+a, starts+b
+	}
+	if len(strings.Fields(stops)) != 1 || !strings.Contains(starts, "job-2/0") {
+		t.Fatalf("stopped %q, started %q", stops, starts)
+	}
+}
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -52,6 +52,7 @@
 	}
 	// Room that is coming: what stopping tasks leave, and soon-ending ones.
 	coming := map[*machine]sched.Resources{}
+	leaving := map[string]float64{} // CPUs of stopping tasks, by team
 	candidates := map[*machine][]victim{}
 	machines := c.sortedMachines()
 	for _, m := range machines {
@@ -64,6 +65,7 @@
 			switch {
 			case a.stop, a.state == saving, a.state == running && c.remaining(now, k.job, a) < tuning.PreemptPatience.Seconds():
 				coming[m] = coming[m].Add(k.job.need, 1)
+				leaving[k.job.Team] += k.job.CPUs
 			case a.state == running:
 				if l := lost(now, k.job, a); l <= tuning.PreemptLoss.Seconds() && k.job.CheckpointS > 0 {
 					candidates[m] = append(candidates[m], victim{m, k, a, l})
@@ -73,25 +75,40 @@
 		sort.SliceStable(candidates[m], func(i, k int) bool { return candidates[m][i].lostS < candidates[m][k].lostS })
 	}
 	stops := 0
+	stop := func(v victim) {
+		v.attempt.stop, v.attempt.grace = true, 0
+		coming[v.machine] = coming[v.machine].Add(v.key.job.need, 1)
+		leaving[v.key.job.Team] += v.key.job.CPUs
+		stops++
+		c.orders = true
+	}
 	for _, r := range waiting {
 		j := byID[r.Job]
 		t := c.teams[j.Team]
 		if t == nil || r.Level >= lowest {
 			continue
 		}
-		tasks := min(len(j.ready), int(max(0, t.CPUsMax-t.used.CPUs)/max(j.CPUs, 1e-9)))
-		for ; tasks > 0 && stops < tuning.PreemptStops; tasks-- {
+		for range j.ready {
+			if stops >= tuning.PreemptStops {
+				break
+			}
+			if t.CPUsMax-t.used.CPUs+leaving[j.Team] < j.CPUs {
+				// The team is at its limit: only its own tasks can make way.
+				v, ok := ownVictim(r, machines, candidates)
+				if !ok {
+					break
+				}
+				stop(v)
+			}
 			best, victims := c.cheapestRoom(r, machines, coming, candidates)
 			if best == nil {
 				break
 			}
 			for _, v := range victims {
-				v.attempt.stop, v.attempt.grace = true, 0
-				coming[best] = coming[best].Add(v.key.job.need, 1)
-				stops++
-				c.orders = true
+				stop(v)
 			}
 			coming[best] = coming[best].Add(j.need, -1)
+			leaving[j.Team] -= j.CPUs
 		}
 	}
 	if stops > 0 {
@@ -99,6 +116,20 @@
 	}
 }
 
+// ownVictim finds the task of the job's own team that loses least.
+func ownVictim(r *sched.Ready, machines []*machine, candidates map[*machine][]victim) (victim, bool) {
+	var best victim
+	found := false
+	for _, m := range machines {
+		for _, v := range candidates[m] {
+			if v.key.job.Team == r.Team && v.key.job.level > r.Level && !v.attempt.stop && (!found || v.lostS < best.lostS) {
+				best, found = v, true
+			}
+		}
+	}
+	return best, found
+}
+
 // fetchTime is T(f) of the job's image on the machine.
 func (c *Controller) fetchTime(m *machine, r *sched.Ready) float64 {
 	t := c.types[m.typ]
