Late jobs come back into line after some minutes

Ruled out: room (other classes p50 2 to 57 s). Late jobs now count as having 400 s of slack, less their age. Kept: nobody should wait for ever.

--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -126,7 +126,7 @@
 	SizeWeight = 6.0
 	// LateSlack is the slack assumed for jobs without a time to meet and for
 	// those too late for any, in seconds: behind all that can be in time.
-	LateSlack = 1e6
+	LateSlack = 400.0
 	// FullPause keeps a machine that refused a start free of new ones.
 	FullPause = 3 * time.Second
 	// FaultyJobs is the number of different jobs whose tasks must fail on a
