--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -143,7 +143,9 @@
 }
 
 // waitFor is the time until the machine has room for need, given what runs
-// and queues there.
+// and queues there; zero only if there is room now. A task over its estimate
+// has no time left by the floor, but it is still there: taking its room for
+// free made machines refuse starts.
 func (m *Machine) waitFor(need Resources) float64 {
 	if m.Free.Fits(need) {
 		return 0
@@ -152,7 +154,7 @@
 	for _, l := range m.Loads {
 		free = free.Add(l.Need, 1)
 		if free.Fits(need) {
-			return l.RemainingS
+			return max(l.RemainingS, tuning.OverdueS)
 		}
 	}
 	return math.Inf(1)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -65,6 +65,14 @@
 			m := vm(fmt.Sprint("m", i), float64(1+rng.IntN(16)))
 			m.Zone = string(rune('a' + rng.IntN(3)))
 			m.Spot = rng.IntN(2) == 0
+			for range rng.IntN(3) {
+				// Running tasks, some of them over their estimate.
+				need := sched.Resources{CPUs: float64(1 + rng.IntN(3)), MemoryGB: 1}
+				if m.Free.Fits(need) {
+					m.Free = m.Free.Add(need, -1)
+					m.Loads = append(m.Loads, sched.Load{Need: need, RemainingS: float64(rng.IntN(3))})
+				}
+			}
 			free[m.ID], zone[m.ID] = m.Free, m.Zone
 			machines = append(machines, m)
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -118,6 +118,9 @@
 	RetryMax = 60 * time.Second
 	// UnknownPause is the pause after a worker found a job not uploaded yet.
 	UnknownPause = 3 * time.Second
+	// OverdueS is the least wait behind a running task, in seconds, however
+	// long it is over its estimate.
+	OverdueS = 1.0
 	// UrgencyStep is the difference in slack, in seconds, below which jobs of
 	// one priority count as equally urgent and the speedup decides.
 	UrgencyStep = 20.0
