--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -27,6 +27,13 @@
 	return ran
 }
 
+// endsSoon reports whether an attempt is about to end by its estimate. One
+// that is over its estimate may go on for long: waiting for it is no plan.
+func (c *Controller) endsSoon(now time.Time, j *job, a *attempt) bool {
+	left := c.remaining(now, j, a)
+	return a.state == running && left > 0 && left < tuning.PreemptPatience.Seconds()
+}
+
 // preempt makes room for tasks that found none: it stops tasks of a lower
 // priority that lose little by it.
 func (c *Controller) preempt(now time.Time, ready []*sched.Ready, byID map[string]*job) {
@@ -63,7 +70,7 @@
 		for _, k := range sortedTasks(m) {
 			a := m.attempts[k]
 			switch {
-			case a.stop, a.state == saving, a.state == running && c.remaining(now, k.job, a) < tuning.PreemptPatience.Seconds():
+			case a.stop, a.state == saving, c.endsSoon(now, k.job, a):
 				coming[m] = coming[m].Add(k.job.need, 1)
 				leaving[k.job.Team] += k.job.CPUs
 			case a.state == running:
