No stop at a team's limit unless a machine has room then; tidy up

Also: map order decided nothing any more, idle machines stay for the minute billed anyway, unused code out.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -49,7 +49,6 @@
 	ratio    map[string]float64 // run time over estimate, by class
 	refused  map[provision.Offer]time.Time
 	renting  map[string]*rental
-	listedAt time.Time
 	lists    uint64
 	nextPlan time.Time
 	lastPass time.Time
@@ -416,8 +415,11 @@
 
 // flushDone queues the writes of completions that have waited long enough.
 func (c *Controller) flushDone(now time.Time) {
-	for j, since := range c.dirty {
-		if now.Sub(since) < tuning.DoneFlush {
+	if len(c.dirty) == 0 {
+		return
+	}
+	for _, j := range c.sortedJobs() {
+		if since, ok := c.dirty[j]; !ok || now.Sub(since) < tuning.DoneFlush {
 			continue
 		}
 		delete(c.dirty, j)
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -416,7 +416,7 @@
 	l.DirectDone(l.now, call, controller.DirectUnknown, nil)
 	l.Cancel(l.now, "job-1", func(controller.Verdict) {})
 	l.commit()
-	l.Listed(l.now, l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+	l.Listed(l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
 	for range 30 {
 		l.report("m1", 1)
 		l.pass(time.Second)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -178,7 +178,8 @@
 	for image := range m.images {
 		s.Images[image] = 0
 	}
-	for k, a := range m.attempts {
+	for _, k := range sortedTasks(m) {
+		a := m.attempts[k]
 		fetch := 0.0
 		if _, cached := m.images[k.job.Image]; !cached && t.FetchGBPerS > 0 {
 			fetch = max(0, k.job.ImageGB/t.FetchGBPerS-now.Sub(a.orderedAt).Seconds())
@@ -207,9 +208,7 @@
 
 // Cloud calls.
 const (
-	CloudTypes CloudOp = iota
-	CloudList
-	CloudRent
+	CloudRent CloudOp = iota
 	CloudRelease
 )
 
@@ -317,7 +316,7 @@
 		p := provision.Machine{
 			ID: m.id, Offer: provision.Offer{Type: m.typ, Zone: m.zone, Spot: m.spot},
 			Total: m.total, Free: m.free, Open: !m.draining && m.noticeEnds.IsZero() && !(m.up && c.silent(now, m)),
-			Idle: len(m.attempts) == 0 && m.up && m.confirmed, IdleFor: now.Sub(m.idleFrom), Price: t.Price,
+			Idle: len(m.attempts) == 0 && m.up && m.confirmed && now.Sub(m.rentedAt) >= tuning.MinimumBill, IdleFor: now.Sub(m.idleFrom), Price: t.Price,
 		}
 		if m.spot {
 			p.Price = t.SpotPrice
@@ -325,13 +324,20 @@
 		if !m.up {
 			p.ReadyInS = max(0, t.BootS-now.Sub(m.rentedAt).Seconds())
 		}
-		for k, a := range m.attempts {
+		for _, k := range sortedTasks(m) {
+			a := m.attempts[k]
 			p.BusyS += c.remaining(now, k.job, a) * k.job.CPUs
 			busy += k.job.CPUs
 		}
 		in.Machines = append(in.Machines, p)
 	}
-	for _, r := range c.renting {
+	requests := make([]string, 0, len(c.renting))
+	for name := range c.renting {
+		requests = append(requests, name)
+	}
+	sort.Strings(requests)
+	for _, name := range requests {
+		r := c.renting[name]
 		t := c.types[r.offer.Type]
 		for range r.count {
 			in.Machines = append(in.Machines, provision.Machine{
@@ -455,7 +461,7 @@
 }
 
 // Listed takes in a complete machine list, asked for at the given time.
-func (c *Controller) Listed(now, asked time.Time, list []wire.ListedMachine) {
+func (c *Controller) Listed(asked time.Time, list []wire.ListedMachine) {
 	c.lists++
 	there := make(map[string]bool, len(list))
 	for _, row := range list {
@@ -465,7 +471,7 @@
 		}
 		m := c.machines[row.Name]
 		if m == nil {
-			m = c.addMachine(now, row.Name, row.Type, row.Zone, row.Addr, row.Spot)
+			m = c.addMachine(asked, row.Name, row.Type, row.Zone, row.Addr, row.Spot)
 			m.rentedAt = asked.Add(-seconds(row.AgeS))
 		}
 		if m.addr == "" {
@@ -482,5 +488,4 @@
 			m.missing++
 		}
 	}
-	c.listedAt = now
 }
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -89,6 +89,12 @@
 		stops++
 		c.orders = true
 	}
+	spare := func(v victim) {
+		v.attempt.stop = false
+		coming[v.machine] = coming[v.machine].Add(v.key.job.need, -1)
+		leaving[v.key.job.Team] -= v.key.job.CPUs
+		stops--
+	}
 	for _, r := range waiting {
 		j := byID[r.Job]
 		t := c.teams[j.Team]
@@ -99,16 +105,23 @@
 			if stops >= tuning.PreemptStops {
 				break
 			}
+			var stopped []victim
 			if t.CPUsMax-t.used.CPUs+leaving[j.Team] < j.CPUs {
 				// The team is at its limit: only its own tasks can make way.
 				v, ok := ownVictim(r, machines, candidates)
 				if !ok {
 					break
 				}
+				stopped = append(stopped, v)
 				stop(v)
 			}
 			best, victims := c.cheapestRoom(r, machines, coming, candidates)
 			if best == nil {
+				// No machine would have it even then: stopping for nothing, pass
+				// after pass, would keep the team's other work from ever ending.
+				for _, v := range stopped {
+					spare(v)
+				}
 				break
 			}
 			for _, v := range victims {
--- a/internal/controller/writes.go
+++ b/internal/controller/writes.go
@@ -19,10 +19,9 @@
 }
 
 type write struct {
-	key    string
-	value  json.RawMessage // nil: delete
-	then   []func()
-	urgent bool
+	key   string
+	value json.RawMessage // nil: delete
+	then  []func()
 }
 
 func (q *writeQueue) len() int { return len(q.queue) - q.head }
--- a/internal/httpc/httpc.go
+++ b/internal/httpc/httpc.go
@@ -85,6 +85,3 @@
 	}
 	return status, nil
 }
-
-// CloseIdle drops idle connections.
-func (c *Client) CloseIdle() { c.host.CloseIdleConnections() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -450,7 +450,7 @@
 			pause = tuning.CloudRetry
 		} else {
 			n.mu.Lock()
-			p.Listed(time.Now(), asked, list)
+			p.Listed(asked, list)
 			n.mu.Unlock()
 		}
 		if err := store.Pause(ctx, pause); err != nil {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -136,10 +136,12 @@
 		return 0
 	}
 	f := gb / m.FetchGBPerS
+	// Whole milliseconds, so that the order of the sum doesn't matter.
+	var others float64
 	for _, left := range m.Images {
-		f += left
+		others += math.Round(left * 1000)
 	}
-	return f
+	return f + others/1000
 }
 
 // waitFor is the time until the machine has room for need, given what runs
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -482,7 +482,7 @@
 	rows := w.Cloud.List(w.now, lag)
 	w.after(w.between(20, 200), func() {
 		if n.picture == p {
-			p.Listed(w.clock(n), asked, rows)
+			p.Listed(asked, rows)
 		}
 	})
 	w.after(w.between(2000, 4000), func() { w.list(n, p) })
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -92,7 +92,8 @@
 	MaxRent = 50
 	// MaxRelease is the largest release (protocol: 100).
 	MaxRelease = 100
-	// MinimumBill is what a deleted machine costs at least.
+	// MinimumBill is what a deleted machine costs at least: returning it
+	// earlier saves nothing.
 	MinimumBill = 60 * time.Second
 )
 
