Reread: one check for old reports, one for wanted starts, shared commands and T(f)

Twins made one: the order check of reports and direct answers, the start and stop commands, what makes a start wanted (direct calls now leave out tasks already done, as answers to reports did), the oldest-first list (sorted once a pass), price, T(f), the planner's filling loop. Dead: an unused hook of the world, a branch for tasks without checkpoints, a wrapper. Completions due are sorted alone. A comment told the old LateSlack.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -415,13 +415,14 @@
 
 // flushDone queues the writes of completions that have waited long enough.
 func (c *Controller) flushDone(now time.Time) {
-	if len(c.dirty) == 0 {
-		return
-	}
-	for _, j := range c.sortedJobs() {
-		if since, ok := c.dirty[j]; !ok || now.Sub(since) < tuning.DoneFlush {
-			continue
+	var due []*job
+	for j, since := range c.dirty {
+		if now.Sub(since) >= tuning.DoneFlush {
+			due = append(due, j)
 		}
+	}
+	sortByID(due)
+	for _, j := range due {
 		delete(c.dirty, j)
 		ks := make([]int, 0, len(j.chunks))
 		for k := range j.chunks {
--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -43,25 +43,22 @@
 			continue
 		}
 		call := &DirectCall{Machine: m.id, Addr: m.addr, Request: wire.CommandRequest{Token: c.term, Session: m.session}}
-		stops := 0
 		for _, k := range sortedTasks(m) {
 			a := m.attempts[k]
 			if a.stop && a.state >= fetching && !a.stopSent {
 				// A late stop does no harm: attempts are never reused.
 				a.stopSent = true
-				grace := a.grace
-				call.Request.Commands = append(call.Request.Commands, wire.Command{Op: wire.OpStop, Task: wire.TaskName(k.job.ID, int(k.index)), Attempt: a.launch, GraceS: &grace})
-				stops++
+				call.Request.Commands = append(call.Request.Commands, a.stopCommand(k))
 				continue
 			}
-			if a.state != ordered || a.stop || a.direct || a.sentSeq != 0 || k.job.state != jobActive || len(call.attempts) >= tuning.AnswerCommands {
+			if a.state != ordered || !a.wanted(k) || a.direct || a.sentSeq != 0 || len(call.attempts) >= tuning.AnswerCommands {
 				continue
 			}
 			a.direct = true
 			call.attempts = append(call.attempts, a)
-			call.Request.Commands = append(call.Request.Commands, wire.Command{Op: wire.OpStart, Task: wire.TaskName(k.job.ID, int(k.index)), Attempt: a.launch})
+			call.Request.Commands = append(call.Request.Commands, a.startCommand(k))
 		}
-		if len(call.attempts)+stops > 0 {
+		if len(call.Request.Commands) > 0 {
 			m.calling = true
 			calls = append(calls, call)
 		}
@@ -87,8 +84,7 @@
 		m.callAfter = now.Add(tuning.DirectPause)
 		return
 	}
-	if r == nil || r.Machine != m.id || r.Token != c.term || r.Session <= m.lostSession ||
-		r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
+	if r == nil || r.Machine != m.id || r.Token != c.term || m.old(r) {
 		return
 	}
 	c.newer(m, r)
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -96,6 +96,20 @@
 	runningAt time.Time
 }
 
+// wanted reports whether the attempt is still to run.
+func (a *attempt) wanted(k taskKey) bool {
+	return !a.stop && k.job.state == jobActive && !k.job.done.Has(int(k.index))
+}
+
+func (a *attempt) startCommand(k taskKey) wire.Command {
+	return wire.Command{Op: wire.OpStart, Task: wire.TaskName(k.job.ID, int(k.index)), Attempt: a.launch}
+}
+
+func (a *attempt) stopCommand(k taskKey) wire.Command {
+	grace := a.grace
+	return wire.Command{Op: wire.OpStop, Task: wire.TaskName(k.job.ID, int(k.index)), Attempt: a.launch, GraceS: &grace}
+}
+
 type rental struct {
 	offer provision.Offer
 	count int
@@ -224,10 +238,14 @@
 	for _, j := range c.jobs {
 		js = append(js, j)
 	}
-	sort.Slice(js, func(i, k int) bool { return js[i].ID < js[k].ID })
+	sortByID(js)
 	return js
 }
 
+func sortByID(js []*job) {
+	sort.Slice(js, func(i, k int) bool { return js[i].ID < js[k].ID })
+}
+
 // record queues the machine's record with all tasks it may hold.
 func (c *Controller) record(m *machine, then func()) {
 	rec := machineRecord{Type: m.typ, Zone: m.zone, Spot: m.spot, Addr: m.addr, Tasks: map[string]string{}}
@@ -262,8 +280,8 @@
 	if m == nil {
 		m = c.addMachine(now, r.Machine, r.Type, r.Zone, r.Addr, r.Spot)
 	}
-	if r.Session <= m.lostSession || r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
-		// Old or repeated: it proves nothing and gets no commands.
+	if m.old(r) {
+		// It proves nothing and gets no commands.
 		return answer, true
 	}
 	c.newer(m, r)
@@ -288,6 +306,12 @@
 	return answer, true
 }
 
+// old reports whether a report is of a session known to be over, or not newer
+// than the newest one taken in.
+func (m *machine) old(r *wire.Report) bool {
+	return r.Session <= m.lostSession || r.Session < m.session || r.Session == m.session && r.Seq <= m.seq
+}
+
 // newer notes the order of a report; a new session ends all that is late.
 func (c *Controller) newer(m *machine, r *wire.Report) {
 	if r.Session > m.session {
@@ -378,9 +402,8 @@
 		switch a.state {
 		case recording:
 		case ordered:
-			unwanted := a.stop || k.job.state != jobActive || k.job.done.Has(int(k.index))
 			if a.direct {
-				if unwanted && m.fenceBy.IsZero() {
+				if !a.wanted(k) && m.fenceBy.IsZero() {
 					m.draining = true
 					m.fenceBy = now.Add(seconds(c.params.Workers.CancelS / tuning.FenceParts))
 				}
@@ -392,7 +415,7 @@
 			// Not there: the start did not run and, carried only by an
 			// answer now given up, never will.
 			a.sentSeq = 0
-			if unwanted || !c.open(now, m) {
+			if !a.wanted(k) || !c.open(now, m) {
 				c.drop(now, m, k)
 			}
 		default:
@@ -510,17 +533,16 @@
 		if a.state == saving && a.grace > 0 {
 			continue
 		}
-		grace := a.grace
-		out = append(out, wire.Command{Op: wire.OpStop, Task: wire.TaskName(k.job.ID, int(k.index)), Attempt: a.launch, GraceS: &grace})
+		out = append(out, a.stopCommand(k))
 	}
 	if authority && !m.releasing {
 		for _, k := range keys {
 			a := m.attempts[k]
-			if a.state != ordered || a.stop || a.direct && m.calling || k.job.state != jobActive || k.job.done.Has(int(k.index)) || len(out) >= tuning.AnswerCommands {
+			if a.state != ordered || !a.wanted(k) || a.direct && m.calling || len(out) >= tuning.AnswerCommands {
 				continue
 			}
 			a.sentSeq = seq
-			out = append(out, wire.Command{Op: wire.OpStart, Task: wire.TaskName(k.job.ID, int(k.index)), Attempt: a.launch})
+			out = append(out, a.startCommand(k))
 		}
 	}
 	answer.Commands = out
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -80,26 +80,18 @@
 
 // readyJobs lists jobs with tasks to place, oldest first.
 func (c *Controller) readyJobs(now time.Time) ([]*sched.Ready, map[string]*job) {
-	var list []*job
-	for _, j := range c.jobs {
-		if j.state == jobActive && len(j.ready) > 0 && !now.Before(j.notUntil) {
-			list = append(list, j)
-		}
-	}
-	sort.Slice(list, func(i, k int) bool {
-		if !list[i].since.Equal(list[k].since) {
-			return list[i].since.Before(list[k].since)
-		}
-		return list[i].ID < list[k].ID
-	})
-	guaranteed := c.guaranteed()
+	active := c.activeJobs()
+	guaranteed := c.guaranteed(active)
 	cpus := 0.0
 	for _, m := range c.machines {
 		cpus += m.total.CPUs
 	}
-	byID := make(map[string]*job, len(list))
-	ready := make([]*sched.Ready, 0, len(list))
-	for _, j := range list {
+	byID := map[string]*job{}
+	var ready []*sched.Ready
+	for _, j := range active {
+		if len(j.ready) == 0 || now.Before(j.notUntil) {
+			continue
+		}
 		r := &sched.Ready{
 			Job: j.ID, Team: j.Team, Level: j.level, Guaranteed: guaranteed[j],
 			Urgency: c.urgency(now, j, cpus), Tasks: len(j.ready), Need: j.need,
@@ -132,9 +124,8 @@
 	return tuning.LateSlack - now.Sub(j.since).Seconds()
 }
 
-// guaranteed tells which unfinished jobs fit into their team's guarantee
-// together with the team's earlier ones.
-func (c *Controller) guaranteed() map[*job]bool {
+// activeJobs lists the unfinished jobs, oldest first.
+func (c *Controller) activeJobs() []*job {
 	var list []*job
 	for _, j := range c.jobs {
 		if j.state == jobActive {
@@ -147,6 +138,12 @@
 		}
 		return list[i].ID < list[k].ID
 	})
+	return list
+}
+
+// guaranteed tells which unfinished jobs, listed oldest first, fit into their
+// team's guarantee together with the team's earlier ones.
+func (c *Controller) guaranteed(list []*job) map[*job]bool {
 	used := map[string]sched.Resources{}
 	fits := map[*job]bool{}
 	for _, j := range list {
@@ -169,12 +166,9 @@
 	t := c.types[m.typ]
 	s := &sched.Machine{
 		ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot,
-		Total: m.total, Free: m.free, FetchGBPerS: t.FetchGBPerS, Price: t.Price,
+		Total: m.total, Free: m.free, FetchGBPerS: t.FetchGBPerS, Price: c.price(m),
 		Images: map[string]float64{}, Avoid: m.avoid,
 	}
-	if m.spot {
-		s.Price = t.SpotPrice
-	}
 	for image := range m.images {
 		s.Images[image] = 0
 	}
@@ -182,7 +176,7 @@
 		a := m.attempts[k]
 		fetch := 0.0
 		if _, cached := m.images[k.job.Image]; !cached && t.FetchGBPerS > 0 {
-			fetch = max(0, k.job.ImageGB/t.FetchGBPerS-now.Sub(a.orderedAt).Seconds())
+			fetch = max(0, sched.FetchTime(k.job.ImageGB, t.FetchGBPerS)-now.Sub(a.orderedAt).Seconds())
 			if old, ok := s.Images[k.job.Image]; !ok || fetch > old {
 				s.Images[k.job.Image] = fetch
 			}
@@ -192,6 +186,14 @@
 	return s
 }
 
+// price is what the machine costs now.
+func (c *Controller) price(m *machine) float64 {
+	if m.spot {
+		return c.types[m.typ].SpotPrice
+	}
+	return c.types[m.typ].Price
+}
+
 // remaining is the run time left of an attempt by its estimate, at least zero.
 func (c *Controller) remaining(now time.Time, j *job, a *attempt) float64 {
 	ran := 0.0
@@ -316,10 +318,7 @@
 		p := provision.Machine{
 			ID: m.id, Offer: provision.Offer{Type: m.typ, Zone: m.zone, Spot: m.spot},
 			Total: m.total, Free: m.free, Open: !m.draining && m.noticeEnds.IsZero() && !(m.up && c.silent(now, m)),
-			Idle: len(m.attempts) == 0 && m.up && m.confirmed && now.Sub(m.rentedAt) >= tuning.MinimumBill, IdleFor: now.Sub(m.idleFrom), Price: t.Price,
-		}
-		if m.spot {
-			p.Price = t.SpotPrice
+			Idle: len(m.attempts) == 0 && m.up && m.confirmed && now.Sub(m.rentedAt) >= tuning.MinimumBill, IdleFor: now.Sub(m.idleFrom), Price: c.price(m),
 		}
 		if !m.up {
 			p.ReadyInS = max(0, t.BootS-now.Sub(m.rentedAt).Seconds())
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -17,14 +17,10 @@
 	lostS   float64
 }
 
-// lost is the progress in seconds that stopping the attempt at once throws
-// away: all since its last checkpoint.
+// lost is the progress in seconds that stopping an attempt which saves
+// checkpoints throws away: all since the last one.
 func lost(now time.Time, j *job, a *attempt) float64 {
-	ran := now.Sub(a.runningAt).Seconds()
-	if j.CheckpointS > 0 {
-		return math.Mod(ran, j.CheckpointS)
-	}
-	return ran
+	return math.Mod(now.Sub(a.runningAt).Seconds(), j.CheckpointS)
 }
 
 // endsSoon reports whether an attempt is about to end by its estimate. One
@@ -73,8 +69,8 @@
 			case a.stop, a.state == saving, c.endsSoon(now, k.job, a):
 				coming[m] = coming[m].Add(k.job.need, 1)
 				leaving[k.job.Team] += k.job.CPUs
-			case a.state == running:
-				if l := lost(now, k.job, a); l <= tuning.PreemptLoss.Seconds() && k.job.CheckpointS > 0 {
+			case a.state == running && k.job.CheckpointS > 0:
+				if l := lost(now, k.job, a); l <= tuning.PreemptLoss.Seconds() {
 					candidates[m] = append(candidates[m], victim{m, k, a, l})
 				}
 			}
@@ -105,22 +101,22 @@
 			if stops >= tuning.PreemptStops {
 				break
 			}
-			var stopped []victim
-			if t.CPUsMax-t.used.CPUs+leaving[j.Team] < j.CPUs {
+			var own victim
+			limited := t.CPUsMax-t.used.CPUs+leaving[j.Team] < j.CPUs
+			if limited {
 				// The team is at its limit: only its own tasks can make way.
-				v, ok := ownVictim(r, machines, candidates)
-				if !ok {
+				var ok bool
+				if own, ok = ownVictim(r, machines, candidates); !ok {
 					break
 				}
-				stopped = append(stopped, v)
-				stop(v)
+				stop(own)
 			}
 			best, victims := c.cheapestRoom(r, machines, coming, candidates)
 			if best == nil {
 				// No machine would have it even then: stopping for nothing, pass
 				// after pass, would keep the team's other work from ever ending.
-				for _, v := range stopped {
-					spare(v)
+				if limited {
+					spare(own)
 				}
 				break
 			}
@@ -152,11 +148,10 @@
 
 // fetchTime is T(f) of the job's image on the machine.
 func (c *Controller) fetchTime(m *machine, r *sched.Ready) float64 {
-	t := c.types[m.typ]
-	if _, cached := m.images[r.Image]; cached || t.FetchGBPerS <= 0 {
+	if _, cached := m.images[r.Image]; cached {
 		return 0
 	}
-	return r.ImageGB / t.FetchGBPerS
+	return sched.FetchTime(r.ImageGB, c.types[m.typ].FetchGBPerS)
 }
 
 // cheapestRoom finds the machine that can make room for one task at the least
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,7 +67,7 @@
 	}
 	n.hub.Self = n.beat
 	n.hub.Superseded = n.superseded
-	n.hub.Serve = n.serve
+	n.hub.Serve = n.Do
 	return n
 }
 
@@ -130,9 +130,6 @@
 	return n.reached && now.Sub(n.reachedAt) < tuning.HealthPatience
 }
 
-// serve answers a peer's call, relaying it once at most.
-func (n *Node) serve(ctx context.Context, c peer.Call) peer.Answer { return n.Do(ctx, c) }
-
 func refusal(status int, why string) peer.Answer {
 	body, _ := json.Marshal(wire.Error{Error: why})
 	return peer.Answer{Status: status, Body: body}
@@ -339,11 +336,9 @@
 		n.mu.Lock()
 		p.Tick(now, authority)
 		var todo []controller.CloudCall
-		if authority {
-			todo = p.Plan(now)
-		}
 		var direct []*controller.DirectCall
 		if authority {
+			todo = p.Plan(now)
 			direct = p.Direct(now)
 		}
 		counts := p.Counts()
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -113,28 +113,26 @@
 	sort.SliceStable(in.Demand, func(i, k int) bool { return in.Demand[i].HorizonS < in.Demand[k].HorizonS })
 	for _, d := range in.Demand {
 		tasks := d.Tasks
-		waited := false
-		for i := range bins {
-			b := &bins[i]
-			if tasks > 0 && b.open && allowed(d, b.offer) && b.total.Fits(d.Need) {
-				tasks -= b.take(d, tasks, d.HorizonS)
+		fill := func(horizonS float64) {
+			for i := range bins {
+				b := &bins[i]
+				if tasks > 0 && b.open && allowed(d, b.offer) && b.total.Fits(d.Need) {
+					tasks -= b.take(d, tasks, horizonS)
+				}
 			}
 		}
+		fill(d.HorizonS)
+		waited := false
 		for tasks > 0 && (in.MaxMachines == 0 || count < in.MaxMachines) {
 			o, price, ok := cheapest(offers, d, types, in.Refused, plan.Rent)
 			if !ok {
 				break
 			}
-			if patience := d.HorizonS * math.Sqrt(price/offers[0].price); price > offers[0].price && !waited {
+			if price > offers[0].price && !waited {
 				// The dearer the offer, the longer the work waits for the
 				// machines there are.
 				waited = true
-				for i := range bins {
-					b := &bins[i]
-					if tasks > 0 && b.open && allowed(d, b.offer) && b.total.Fits(d.Need) {
-						tasks -= b.take(d, tasks, patience)
-					}
-				}
+				fill(d.HorizonS * math.Sqrt(price/offers[0].price))
 				continue
 			}
 			t := total(types[o.Type])
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -126,6 +126,15 @@
 	return m.Total.Fits(r.Need)
 }
 
+// FetchTime is T(f): an image's size over the fetch rate, zero if the rate is
+// not known.
+func FetchTime(gb, gbPerS float64) float64 {
+	if gbPerS <= 0 {
+		return 0
+	}
+	return gb / gbPerS
+}
+
 // fetch is the time until the machine has the job's image: T(f) counted only
 // for what the cache lacks; other fetches under way share the rate.
 func (m *Machine) fetch(image string, gb float64) float64 {
@@ -135,13 +144,12 @@
 	if m.FetchGBPerS <= 0 {
 		return 0
 	}
-	f := gb / m.FetchGBPerS
 	// Whole milliseconds, so that the order of the sum doesn't matter.
 	var others float64
 	for _, left := range m.Images {
 		others += math.Round(left * 1000)
 	}
-	return f + others/1000
+	return FetchTime(gb, m.FetchGBPerS) + others/1000
 }
 
 // waitFor is the time until the machine has room for need, given what runs
@@ -174,11 +182,7 @@
 	if math.IsInf(wait, 1) {
 		return math.Inf(-1), wait
 	}
-	rs := 0.0
-	if m.FetchGBPerS > 0 {
-		rs = r.ImageGB / m.FetchGBPerS
-	}
-	return rs - (wait + m.fetch(r.Image, r.ImageGB)), wait
+	return FetchTime(r.ImageGB, m.FetchGBPerS) - (wait + m.fetch(r.Image, r.ImageGB)), wait
 }
 
 // pick finds the machine with the largest speedup for the job.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -28,9 +28,6 @@
 	Params config.Params
 	// Trouble is how rough the day is, 0 for none.
 	Trouble float64
-	// Tamper, if set, changes a controller's answer to a worker on its way;
-	// tests use it to break a safeguard.
-	Tamper func(*wire.ReportAnswer)
 
 	rng     *rand.Rand
 	now     time.Time
@@ -181,8 +178,8 @@
 
 func (w *World) toState(n *node, do func() error, done func(err error)) {
 	life := n.life
-	back := func(err error) {
-		w.after(w.between(1, 20), func() {
+	answer := func(d time.Duration, err error) {
+		w.after(d, func() {
 			if n.up && n.life == life {
 				done(err)
 			}
@@ -193,25 +190,17 @@
 			// Held back and delivered when the cut ends, or a good while later.
 			w.after(n.cutState.Sub(w.now)+w.between(0, 60_000), func() { _ = do() })
 		}
-		w.after(tuning.StoreTimeout, func() {
-			if n.up && n.life == life {
-				done(httpc.ErrNoAnswer)
-			}
-		})
+		answer(tuning.StoreTimeout, httpc.ErrNoAnswer)
 		return
 	}
 	lost := w.troubled() && w.chance(0.02)
 	w.after(w.between(1, 10), func() {
 		err := do()
 		if lost {
-			w.after(tuning.StoreTimeout, func() {
-				if n.up && n.life == life {
-					done(httpc.ErrNoAnswer)
-				}
-			})
+			answer(tuning.StoreTimeout, httpc.ErrNoAnswer)
 			return
 		}
-		back(err)
+		answer(w.between(1, 20), err)
 	})
 }
 
@@ -555,9 +544,6 @@
 			w.after(w.between(1, 20), fail)
 			return
 		}
-		if w.Tamper != nil {
-			w.Tamper(&a)
-		}
 		if w.troubled() && w.chance(0.02) {
 			return
 		}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -55,10 +55,9 @@
 }
 
 // play runs one seeded day and returns the world and the first broken rule.
-func play(seed uint64, trouble float64, tamper func(*wire.ReportAnswer)) (*standin.World, error) {
+func play(seed uint64, trouble float64) (*standin.World, error) {
 	w := standin.NewWorld(seed, 3, params(), machineType)
 	w.Trouble = trouble
-	w.Tamper = tamper
 	rng := rand.New(rand.NewPCG(seed, 2))
 	for i := range 25 {
 		cancel := time.Duration(0)
@@ -76,7 +75,7 @@
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
-			w, err := play(seed, 0, nil)
+			w, err := play(seed, 0)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -94,7 +93,7 @@
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
-			w, err := play(100+seed, 1+float64(seed%3), nil)
+			w, err := play(100+seed, 1+float64(seed%3))
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -128,8 +128,9 @@
 	// SizeWeight is what a second of work for all machines counts against a
 	// job, in seconds of slack.
 	SizeWeight = 6.0
-	// LateSlack is the slack assumed for jobs without a time to meet and for
-	// those too late for any, in seconds: behind all that can be in time.
+	// LateSlack is the slack, less their age, that jobs without a time to meet
+	// and those too late for any count with, in seconds: behind most that can
+	// be in time, but not for ever.
 	LateSlack = 400.0
 	// FullPause keeps a machine that refused a start free of new ones.
 	FullPause = 3 * time.Second
