--- a/cmd/switchshore/main.go
+++ b/cmd/switchshore/main.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -58,6 +60,11 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
+	if share := settings.Params.Limits.CPUShare; share > 0 {
+		// More threads than the share has processors only take turns.
+		runtime.GOMAXPROCS(int(math.Ceil(share)))
+	}
+	debug.SetGCPercent(tuning.GCPercent)
 	if mb := settings.Params.Limits.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(mb * tuning.MemoryShare * (1 << 20)))
 	}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -3,11 +3,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 
+	"github.com/goccy/go-json"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
@@ -28,16 +29,18 @@
 	log     zerolog.Logger
 	service Service
 	http    *fasthttp.Server
+	workers conns
 	ctx     context.Context
 }
 
 // New returns a server within the given limits.
 func New(log zerolog.Logger, s Service, limits config.Limits) *Server {
-	connections := fasthttp.DefaultConcurrency
+	connections, workers := fasthttp.DefaultConcurrency, fasthttp.DefaultConcurrency
 	if limits.MaxConnections > 0 {
 		connections = max(16, int(float64(limits.MaxConnections)*tuning.SocketShare))
+		workers = max(8, int(float64(limits.MaxConnections)*tuning.WorkerShare))
 	}
-	srv := &Server{log: log, service: s}
+	srv := &Server{log: log, service: s, workers: conns{most: workers, open: map[net.Conn]struct{}{}}}
 	srv.http = &fasthttp.Server{
 		Name:                         "switchshore",
 		Handler:                      srv.handle,
@@ -49,6 +52,7 @@
 		NoDefaultDate:                true,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
+		ConnState:                    srv.workers.state,
 		Logger:                       &log,
 	}
 	return srv
@@ -67,7 +71,7 @@
 	switch {
 	case path == wire.PathReport:
 		if only(rc, fasthttp.MethodPost) {
-			s.do(rc, peer.Call{Op: peer.OpReport, Body: rc.PostBody()})
+			s.report(rc)
 		}
 	case path == wire.PathHealth:
 		if !only(rc, fasthttp.MethodGet) {
@@ -131,12 +135,24 @@
 		refuse(rc, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
-	body, err := json.Marshal(job)
+	s.do(rc, peer.Call{Op: peer.OpSubmit, Job: job.ID, Spec: job})
+}
+
+// report takes a worker's report, unless workers have taken all sockets that
+// they may: then the worker is sent to the next node, so that users and
+// health checks are still answered here.
+func (s *Server) report(rc *fasthttp.RequestCtx) {
+	r, err := wire.ParseReport(rc.PostBody())
 	if err != nil {
 		refuse(rc, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
-	s.do(rc, peer.Call{Op: peer.OpSubmit, Job: job.ID, Body: body})
+	if !s.workers.admit(rc.Conn()) {
+		rc.SetConnectionClose()
+		refuse(rc, fasthttp.StatusMisdirectedRequest, "too many workers here")
+		return
+	}
+	s.do(rc, peer.Call{Op: peer.OpReport, Report: r})
 }
 
 func (s *Server) job(rc *fasthttp.RequestCtx, c peer.Call) {
@@ -148,10 +164,45 @@
 }
 
 func (s *Server) do(rc *fasthttp.RequestCtx, c peer.Call) {
-	if c.Op == peer.OpReport && !json.Valid(c.Body) {
-		refuse(rc, fasthttp.StatusBadRequest, "malformed: not JSON")
-		return
-	}
 	a := s.service.Do(s.ctx, c)
-	reply(rc, a.Status, a.Body)
+	var body []byte
+	switch {
+	case a.Report != nil:
+		body, _ = json.Marshal(a.Report)
+	case a.Job != nil:
+		body, _ = json.Marshal(a.Job)
+	default:
+		body, _ = json.Marshal(wire.Error{Error: a.Why})
+	}
+	reply(rc, a.Status, body)
+}
+
+// conns counts the connections on which workers report.
+type conns struct {
+	most int
+
+	mu   sync.Mutex
+	open map[net.Conn]struct{}
+}
+
+// admit counts a connection and reports whether there is room for it.
+func (c *conns) admit(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, known := c.open[conn]; known {
+		return true
+	}
+	if len(c.open) >= c.most {
+		return false
+	}
+	c.open[conn] = struct{}{}
+	return true
+}
+
+func (c *conns) state(conn net.Conn, state fasthttp.ConnState) {
+	if state == fasthttp.StateClosed || state == fasthttp.StateHijacked {
+		c.mu.Lock()
+		delete(c.open, conn)
+		c.mu.Unlock()
+	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -40,22 +40,35 @@
 	active   int              // unfinished tasks, for the memory bound
 	teams    map[string]*team
 	machines map[string]*machine
+	order    []*machine      // the machines by name
 	released map[string]bool // names never to be taken in again
 	types    map[string]wire.MachineType
 	offers   []wire.MachineType
 
-	writes   writeQueue
-	dirty    map[*job]time.Time // jobs with unwritten completions, since when
-	ratio    map[string]float64 // run time over estimate, by class
-	refused  map[provision.Offer]time.Time
-	renting  map[string]*rental
-	lists    uint64
-	nextPlan time.Time
-	lastPass time.Time
-	changed  bool
-	orders   bool // starts may be waiting to go out directly
-	reserve  float64
-	reserved time.Time
+	urgent  writeQueue  // what users wait for
+	bulk    writeQueue  // what nobody waits for
+	unsaved []*startLog // records of starts to be written
+	logs    uint64      // start records so far
+	// loadedLogs are a predecessor's start records while they are loaded.
+	loadedLogs []*startLog
+	dirty      map[*job]time.Time // jobs with unwritten completions, since when
+	ratio      map[string]float64 // run time over estimate, by class
+	refused    map[provision.Offer]time.Time
+	renting    map[string]*rental
+	lists      uint64
+	nextPlan   time.Time
+	lastPass   time.Time
+	lastLook   time.Time // for leases that ran out
+	lastStop   time.Time // for room made by stopping tasks
+	changed    bool
+	scores     int        // pairs of job and machine looked at, for the logs
+	round      uint64     // number of task lists taken in
+	calls      []*machine // that may have something to be told directly
+	calling    int        // direct calls under way
+	// releasing is the number of releases without an answer.
+	releasing int
+	reserve   float64
+	reserved  time.Time
 }
 
 type team struct {
@@ -169,14 +182,18 @@
 	ready   []int32     // tasks to be placed, last first
 	holders map[int32]int8
 	held    int // tasks that may be on a machine
+	// claims are the attempts known from start records while those are loaded.
+	claims  map[int32]*attempt
 	running int
 	inZone  map[string]int
 	need    sched.Resources
 
 	failures int
 	notUntil time.Time
-	waiting  []func(ok bool) // told when the acceptance is durable
-	chunks   map[int]bool    // done-set chunks to be written
+	// startAt is when a task of the job was last placed, or when the job came.
+	startAt time.Time
+	waiting []func(ok bool) // told when the acceptance is durable
+	chunks  map[int]bool    // done-set chunks to be written
 }
 
 // jobRecord is the stored form of a job.
@@ -185,15 +202,15 @@
 	At  int64    `json:"at"`
 }
 
-func keyJob(id string) string     { return "j/" + id }
-func keyFinal(id string) string   { return "f/" + id }
-func keyMachine(id string) string { return "m/" + id }
+func keyJob(id string) string   { return "j/" + id }
+func keyFinal(id string) string { return "f/" + id }
 
 func newJob(spec wire.Job, at int64, since time.Time) *job {
 	j := &job{
 		Job:     spec,
 		at:      at,
 		since:   since,
+		startAt: since,
 		level:   wire.Level(spec.Priority),
 		done:    ranges.New(spec.Tasks),
 		holders: map[int32]int8{},
@@ -262,8 +279,10 @@
 		then(Verdict{Status: 422, Why: why})
 		return
 	}
-	if c.active+spec.Tasks > tuning.ActiveTasks || c.writes.len() > tuning.PendingWrites {
-		then(Verdict{Status: 429, Why: "too much work queued"})
+	if c.active+spec.Tasks > tuning.ActiveTasks || c.urgent.len() >= c.maxUrgent() {
+		// More than the state service takes while users wait for an answer:
+		// waiting in line would only end in a timeout.
+		then(Verdict{Status: 503, Why: "too much work queued"})
 		return
 	}
 	j := newJob(*spec, wall.UnixMilli(), now)
@@ -275,7 +294,7 @@
 	c.jobs[j.ID] = j
 	c.active += j.Tasks
 	j.waiting = append(j.waiting, func(ok bool) { then(c.accepted(ok, j.ID, 201)) })
-	c.writes.put(keyJob(j.ID), record, func() {
+	c.urgent.put(keyJob(j.ID), record, func() {
 		if j.state == jobAccepting {
 			j.state = jobActive
 			j.fillReady()
@@ -290,6 +309,11 @@
 	})
 }
 
+// maxUrgent is how many changes the write budget takes while a user waits.
+func (c *Controller) maxUrgent() int {
+	return max(1, int(c.params.State.WriteRPS*tuning.StoreWriteShare*tuning.SubmitWait.Seconds()))
+}
+
 func (c *Controller) accepted(ok bool, id string, status int) Verdict {
 	if !ok {
 		return Verdict{Status: 503, Why: "the term ended"}
@@ -363,7 +387,7 @@
 // end writes a job's final state; only then is it told to anyone.
 func (c *Controller) end(j *job, how byte) {
 	f := final{how, int32(j.done.Len())}
-	c.writes.put(keyFinal(j.ID), f.value(), func() {
+	c.urgent.put(keyFinal(j.ID), f.value(), func() {
 		c.finals[j.ID] = f
 		c.active -= j.Tasks
 		j.ended = true
@@ -383,10 +407,10 @@
 	}
 	delete(c.jobs, j.ID)
 	delete(c.dirty, j)
-	c.writes.del(keyJob(j.ID))
+	c.bulk.del(keyJob(j.ID))
 	for k := 0; k*tuning.DoneChunk < j.Tasks; k++ {
 		if j.done.Format(k*tuning.DoneChunk, (k+1)*tuning.DoneChunk) != "" {
-			c.writes.del(keyDone(j.ID, k))
+			c.bulk.del(keyDone(j.ID, k))
 		}
 	}
 }
@@ -433,7 +457,7 @@
 			text := j.done.Format(k*tuning.DoneChunk, (k+1)*tuning.DoneChunk)
 			value, _ := json.Marshal(text)
 			covered := text
-			c.writes.put(keyDone(j.ID, k), value, func() { c.durable(j, covered) })
+			c.bulk.put(keyDone(j.ID, k), value, func() { c.durable(j, covered) })
 		}
 		clear(j.chunks)
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -59,7 +59,7 @@
 
 // commit makes all queued changes durable.
 func (l *leader) commit() {
-	for b := l.NextBatch(10); b != nil; b = l.NextBatch(10) {
+	for b := l.NextBatch(10, 10); b != nil; b = l.NextBatch(10, 10) {
 		for _, w := range b.Writes {
 			if w.Delete != "" {
 				delete(l.kept, w.Delete)
--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/tuning"
 	"switchshore.example/switchshore/wire"
 )
@@ -33,39 +34,62 @@
 // stops, to machines heard of lately, so that they need not wait for the next
 // report.
 func (c *Controller) Direct(now time.Time) []*DirectCall {
-	if !c.orders {
-		return nil
-	}
-	c.orders = false
 	var calls []*DirectCall
-	for _, m := range c.sortedMachines() {
-		if m.calling || m.addr == "" || now.Before(m.callAfter) || !c.open(now, m) {
+	next := 0
+	for ; next < len(c.calls) && c.calling < c.maxCalls(); next++ {
+		m := c.calls[next]
+		m.queued = false
+		if m.calling || m.addr == "" || now.Before(m.callAfter) || !c.open(now, m) || c.machines[m.id] != m {
+			// The answer to the next report carries it.
 			continue
 		}
 		call := &DirectCall{Machine: m.id, Addr: m.addr, Request: wire.CommandRequest{Token: c.term, Session: m.session}}
-		for _, k := range sortedTasks(m) {
-			a := m.attempts[k]
+		for _, a := range m.attempts {
 			if a.stop && a.state >= fetching && !a.stopSent {
 				// A late stop does no harm: attempts are never reused.
 				a.stopSent = true
-				call.Request.Commands = append(call.Request.Commands, a.stopCommand(k))
+				call.Request.Commands = append(call.Request.Commands, a.stopCommand())
 				continue
 			}
-			if a.state != ordered || !a.wanted(k) || a.direct || a.sentSeq != 0 || len(call.attempts) >= tuning.AnswerCommands {
+			if a.state != ordered || !a.wanted() || a.direct || a.sentSeq != 0 || len(call.attempts) >= tuning.AnswerCommands {
 				continue
 			}
 			a.direct = true
 			call.attempts = append(call.attempts, a)
-			call.Request.Commands = append(call.Request.Commands, a.startCommand(k))
+			call.Request.Commands = append(call.Request.Commands, a.startCommand())
 		}
 		if len(call.Request.Commands) > 0 {
 			m.calling = true
+			c.calling++
 			calls = append(calls, call)
 		}
 	}
+	c.calls = c.calls[next:]
+	if len(c.calls) == 0 {
+		c.calls = nil
+	}
 	return calls
 }
 
+// callSoon puts a machine in the list of those with something to be told.
+func (c *Controller) callSoon(m *machine) {
+	if !m.queued {
+		m.queued = true
+		c.calls = append(c.calls, m)
+	}
+}
+
+// maxCalls bounds the direct calls under way by the sockets they may take.
+func (c *Controller) maxCalls() int { return DirectSockets(c.params.Limits) }
+
+// DirectSockets is the number of sockets for direct calls.
+func DirectSockets(l config.Limits) int {
+	if l.MaxConnections <= 0 {
+		return tuning.DirectCalls
+	}
+	return max(1, int(float64(l.MaxConnections)*tuning.DirectShare))
+}
+
 // DirectDone takes in the outcome of a direct call, with the worker's report
 // if it was answered. It does not renew the worker's lease.
 func (c *Controller) DirectDone(now time.Time, call *DirectCall, outcome DirectOutcome, r *wire.Report) {
@@ -74,12 +98,13 @@
 			a.direct = false
 		}
 	}
+	c.calling--
 	m := c.machines[call.Machine]
 	if m == nil {
 		return
 	}
 	m.calling = false
-	c.orders = true
+	c.callSoon(m)
 	if outcome != DirectAnswered {
 		m.callAfter = now.Add(tuning.DirectPause)
 		return
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -11,8 +11,9 @@
 )
 
 // Prefixes of the stored records, in the order in which they must be loaded:
-// jobs, their completions, the final states, then the machines.
-var Prefixes = []string{"j/", "d/", "f/", "m/"}
+// jobs, their completions, the final states, then the starts, oldest first.
+// Below "m/" earlier versions kept one record a machine.
+var Prefixes = []string{"j/", "d/", "f/", "m/", "s/"}
 
 // Load takes in one stored record; wall and now relate the time of day in
 // the records to the steady clock.
@@ -72,26 +73,54 @@
 			c.active -= j.Tasks
 		}
 	case "m":
-		var rec machineRecord
+		rec := machineStarts{}
 		if err := json.Unmarshal(value, &rec); err != nil {
 			return err
 		}
-		m := c.addMachine(now, id, rec.Type, rec.Zone, rec.Addr, rec.Spot)
-		m.recorded = true
-		m.up = true
-		for _, image := range rec.Images {
-			m.images[image] = now
+		rec.ID = id
+		return c.loadStarts(now, "m/"+id, []machineStarts{rec})
+	case "s":
+		var rec startRecord
+		if err := json.Unmarshal(value, &rec); err != nil {
+			return err
 		}
-		for job, text := range rec.Tasks {
-			j := c.jobs[job]
+		return c.loadStarts(now, "s/"+id, rec.Machines)
+	}
+	return nil
+}
+
+// loadStarts takes in a start record: its machines may hold its tasks.
+func (c *Controller) loadStarts(now time.Time, key string, machines []machineStarts) error {
+	log := &startLog{key: key, saved: true}
+	c.loadedLogs = append(c.loadedLogs, log)
+	for _, rec := range machines {
+		m := c.machines[rec.ID]
+		if m == nil {
+			m = c.addMachine(now, rec.ID, rec.Type, rec.Zone, "", rec.Spot)
+		}
+		m.recorded, m.up = true, true
+		for id, text := range rec.Tasks {
+			j := c.jobs[id]
 			if j == nil {
 				continue
 			}
 			err := ranges.Each(text, j.Tasks, func(i int) {
 				// A stored completion proves that the task has exited and is
 				// not started again.
-				if !j.done.Has(i) {
-					c.hold(m, taskKey{j, int32(i)}, &attempt{state: maybe, orderedAt: now})
+				if j.done.Has(i) {
+					return
+				}
+				former := j.claims[int32(i)]
+				a := &attempt{state: maybe, orderedAt: now, log: log}
+				log.live++
+				c.hold(m, j, int32(i), a)
+				if j.claims == nil {
+					j.claims = map[int32]*attempt{}
+				}
+				j.claims[int32(i)] = a
+				if former != nil {
+					// It was started again since, so it had left that place.
+					c.drop(now, former)
 				}
 			})
 			if err != nil {
@@ -104,7 +133,14 @@
 
 // Loaded ends the loading: tasks that no machine may hold can be placed.
 func (c *Controller) Loaded(now time.Time) {
+	for _, log := range c.loadedLogs {
+		if log.live == 0 {
+			c.bulk.del(log.key)
+		}
+	}
+	c.loadedLogs = nil
 	for _, j := range c.sortedJobs() {
+		j.claims = nil
 		if j.state == jobActive {
 			j.fillReady()
 		}
@@ -121,6 +157,8 @@
 // Counts sums the picture up for logs.
 type Counts struct {
 	Jobs, Ready, Held, Machines, Up, Spot, Writes int
+	// Scores are the pairs of job and machine looked at so far.
+	Scores int
 	// UsedCPUs may be in use, of the CPUs of machines that are up; WantedCPUs
 	// are those of ready tasks.
 	CPUs, UsedCPUs, WantedCPUs float64
@@ -128,7 +166,7 @@
 
 // Counts returns the sums.
 func (c *Controller) Counts() Counts {
-	n := Counts{Jobs: len(c.jobs), Machines: len(c.machines), Writes: c.writes.len()}
+	n := Counts{Jobs: len(c.jobs), Machines: len(c.machines), Writes: c.urgent.len() + len(c.unsaved) + c.bulk.len(), Scores: c.scores}
 	for _, j := range c.jobs {
 		n.Ready += len(j.ready)
 		n.WantedCPUs += float64(len(j.ready)) * j.CPUs
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -1,13 +1,11 @@
 package controller
 
 import (
-	"encoding/json"
 	"slices"
 	"sort"
 	"time"
 
 	"switchshore.example/switchshore/internal/provision"
-	"switchshore.example/switchshore/internal/ranges"
 	"switchshore.example/switchshore/internal/sched"
 	"switchshore.example/switchshore/internal/tuning"
 	"switchshore.example/switchshore/wire"
@@ -32,15 +30,15 @@
 	noticeEnds  time.Time // zero: no notice
 	fullUntil   time.Time
 
-	attempts map[taskKey]*attempt
-	exited   map[exitKey]bool // value: may be forgotten
-	orphans  []exitKey        // tasks that nobody wants, to be stopped
+	attempts []*attempt // in the order in which they came to be known
+	exited   []exit
+	orphans  []exitKey // tasks that nobody wants, to be stopped
 	images   map[string]time.Time
 	avoid    map[string]bool
 	failing  map[string]bool
 	free     sched.Resources
 	idleFrom time.Time
-	recorded bool // a record is or will be in the state service
+	recorded bool // named by a start record that was loaded
 	missing  int  // lists in a row without the machine
 	listed   bool
 	failed   bool
@@ -54,11 +52,12 @@
 	// fenceBy is when the machine has to be released, as a start of an ended
 	// job may still come late; zero for never.
 	fenceBy time.Time
-}
-
-type taskKey struct {
-	job   *job
-	index int32
+	// view is what the placement rule sees of the machine; stale, it is made
+	// anew.
+	view  *sched.Machine
+	stale bool
+	// queued: the machine is in the list of those to be called directly.
+	queued bool
 }
 
 type exitKey struct {
@@ -66,6 +65,12 @@
 	attempt uint64
 }
 
+// exit is an exited attempt in a machine's list.
+type exit struct {
+	exitKey
+	forget bool // nobody needs the worker's memory of it any more
+}
+
 type attemptState int
 
 const (
@@ -81,6 +86,12 @@
 )
 
 type attempt struct {
+	machine *machine
+	job     *job
+	index   int32
+	log     *startLog // the record that names it
+	round   uint64    // the last task list that showed it
+
 	launch   uint64
 	state    attemptState
 	stop     bool // to be stopped
@@ -97,17 +108,19 @@
 }
 
 // wanted reports whether the attempt is still to run.
-func (a *attempt) wanted(k taskKey) bool {
-	return !a.stop && k.job.state == jobActive && !k.job.done.Has(int(k.index))
+func (a *attempt) wanted() bool {
+	return !a.stop && a.job.state == jobActive && !a.job.done.Has(int(a.index))
 }
 
-func (a *attempt) startCommand(k taskKey) wire.Command {
-	return wire.Command{Op: wire.OpStart, Task: wire.TaskName(k.job.ID, int(k.index)), Attempt: a.launch}
+func (a *attempt) name() string { return wire.TaskName(a.job.ID, int(a.index)) }
+
+func (a *attempt) startCommand() wire.Command {
+	return wire.Command{Op: wire.OpStart, Task: a.name(), Attempt: a.launch}
 }
 
-func (a *attempt) stopCommand(k taskKey) wire.Command {
+func (a *attempt) stopCommand() wire.Command {
 	grace := a.grace
-	return wire.Command{Op: wire.OpStop, Task: wire.TaskName(k.job.ID, int(k.index)), Attempt: a.launch, GraceS: &grace}
+	return wire.Command{Op: wire.OpStop, Task: a.name(), Attempt: a.launch, GraceS: &grace}
 }
 
 type rental struct {
@@ -116,38 +129,37 @@
 	at    time.Time
 }
 
-// machineRecord is the stored form of a machine with the tasks it may hold.
-type machineRecord struct {
-	Type   string            `json:"type"`
-	Zone   string            `json:"zone"`
-	Spot   bool              `json:"spot"`
-	Addr   string            `json:"addr"`
-	Images []string          `json:"images,omitempty"`
-	Tasks  map[string]string `json:"tasks,omitempty"`
-}
-
 func (c *Controller) addMachine(now time.Time, id, typ, zone, addr string, spot bool) *machine {
 	m := &machine{
 		id: id, typ: typ, zone: zone, addr: addr, spot: spot,
-		rentedAt: now, idleFrom: now,
-		attempts: map[taskKey]*attempt{},
-		exited:   map[exitKey]bool{},
-		images:   map[string]time.Time{},
-		avoid:    map[string]bool{},
-		failing:  map[string]bool{},
-		keep:     map[exitKey]bool{},
+		rentedAt: now, idleFrom: now, stale: true,
+		images:  map[string]time.Time{},
+		avoid:   map[string]bool{},
+		failing: map[string]bool{},
+		keep:    map[exitKey]bool{},
 	}
 	c.machines[id] = m
+	i := sort.Search(len(c.order), func(i int) bool { return c.order[i].id >= id })
+	c.order = slices.Insert(c.order, i, m)
 	c.size(m)
 	return m
 }
 
+// removeMachine forgets a machine that is gone with all on it.
+func (c *Controller) removeMachine(m *machine) {
+	delete(c.machines, m.id)
+	if i := slices.Index(c.order, m); i >= 0 {
+		c.order = slices.Delete(c.order, i, i+1)
+	}
+}
+
 // size fills in the amounts of the machine's type once it is known.
 func (c *Controller) size(m *machine) {
 	if t, ok := c.types[m.typ]; ok && m.total == (sched.Resources{}) {
 		m.total = resources(t)
 		m.free = m.free.Add(m.total, 1)
 	}
+	m.stale = true
 }
 
 // SetTypes takes in the cloud's catalogue.
@@ -159,78 +171,69 @@
 	for _, t := range types {
 		c.types[t.Name] = t
 	}
-	for _, m := range c.machines {
+	for _, m := range c.order {
 		c.size(m)
 	}
 	c.changed = true
 }
 
+// find returns the attempt of a task on the machine, or nil.
+func (m *machine) find(j *job, index int32) *attempt {
+	for _, a := range m.attempts {
+		if a.index == index && a.job == j {
+			return a
+		}
+	}
+	return nil
+}
+
 // hold counts a task that may be on a machine.
-func (c *Controller) hold(m *machine, k taskKey, a *attempt) {
-	m.attempts[k] = a
-	m.free = m.free.Add(k.job.need, -1)
-	if t := c.teams[k.job.Team]; t != nil {
-		t.used = t.used.Add(k.job.need, 1)
+func (c *Controller) hold(m *machine, j *job, index int32, a *attempt) {
+	a.machine, a.job, a.index = m, j, index
+	m.attempts = append(m.attempts, a)
+	m.stale = true
+	m.free = m.free.Add(j.need, -1)
+	if t := c.teams[j.Team]; t != nil {
+		t.used = t.used.Add(j.need, 1)
 	}
-	k.job.inZone[m.zone]++
-	if k.job.holders[k.index]++; k.job.holders[k.index] == 1 {
-		k.job.held++
+	j.inZone[m.zone]++
+	if j.holders[index]++; j.holders[index] == 1 {
+		j.held++
 	}
 }
 
-// drop counts a task that certainly is no longer on the machine.
-func (c *Controller) drop(now time.Time, m *machine, k taskKey) {
-	a := m.attempts[k]
-	if a == nil {
+// drop counts a task that certainly is no longer on its machine.
+func (c *Controller) drop(now time.Time, a *attempt) {
+	m, j := a.machine, a.job
+	i := slices.Index(m.attempts, a)
+	if i < 0 {
 		return
 	}
-	delete(m.attempts, k)
-	m.free = m.free.Add(k.job.need, 1)
-	if t := c.teams[k.job.Team]; t != nil {
-		t.used = t.used.Add(k.job.need, -1)
+	m.attempts = slices.Delete(m.attempts, i, i+1)
+	m.stale = true
+	m.free = m.free.Add(j.need, 1)
+	if t := c.teams[j.Team]; t != nil {
+		t.used = t.used.Add(j.need, -1)
 	}
-	if k.job.inZone[m.zone]--; k.job.inZone[m.zone] == 0 {
-		delete(k.job.inZone, m.zone)
+	if j.inZone[m.zone]--; j.inZone[m.zone] == 0 {
+		delete(j.inZone, m.zone)
 	}
 	if a.state == running || a.state == saving {
-		k.job.running--
+		j.running--
 	}
 	if len(m.attempts) == 0 {
 		m.idleFrom = now
 	}
-	c.unhold(k.job, k.index)
+	c.unlog(a)
+	c.unhold(j, a.index)
 }
 
 // dropAll drops every task of a machine whose session is over.
 func (c *Controller) dropAll(now time.Time, m *machine) {
-	for _, k := range sortedTasks(m) {
-		c.drop(now, m, k)
-	}
-	clear(m.exited)
-}
-
-// sortedTasks makes runs repeatable: map order must not decide anything.
-func sortedTasks(m *machine) []taskKey {
-	keys := make([]taskKey, 0, len(m.attempts))
-	for k := range m.attempts {
-		keys = append(keys, k)
+	for len(m.attempts) > 0 {
+		c.drop(now, m.attempts[len(m.attempts)-1])
 	}
-	sort.Slice(keys, func(i, j int) bool {
-		if keys[i].job.ID != keys[j].job.ID {
-			return keys[i].job.ID < keys[j].job.ID
-		}
-		return keys[i].index < keys[j].index
-	})
-	return keys
-}
-
-func (c *Controller) sortedMachines() []*machine {
-	ms := make([]*machine, 0, len(c.machines))
-	for _, m := range c.machines {
-		ms = append(ms, m)
-	}
-	sort.Slice(ms, func(i, j int) bool { return ms[i].id < ms[j].id })
-	return ms
+	m.exited = nil
 }
 
 func (c *Controller) sortedJobs() []*job {
@@ -246,26 +249,6 @@
 	sort.Slice(js, func(i, k int) bool { return js[i].ID < js[k].ID })
 }
 
-// record queues the machine's record with all tasks it may hold.
-func (c *Controller) record(m *machine, then func()) {
-	rec := machineRecord{Type: m.typ, Zone: m.zone, Spot: m.spot, Addr: m.addr, Tasks: map[string]string{}}
-	lists := map[string][]int{}
-	for k := range m.attempts {
-		lists[k.job.ID] = append(lists[k.job.ID], int(k.index))
-	}
-	for id, list := range lists {
-		sort.Ints(list)
-		rec.Tasks[id] = ranges.FormatList(list)
-	}
-	for image := range m.images {
-		rec.Images = append(rec.Images, image)
-	}
-	sort.Strings(rec.Images)
-	value, _ := json.Marshal(rec)
-	m.recorded = true
-	c.writes.put(keyMachine(m.id), value, then)
-}
-
 // Report takes in a worker's report and answers it. With authority false
 // (the state service is out of reach) nothing is started.
 func (c *Controller) Report(now time.Time, r *wire.Report, authority bool) (wire.ReportAnswer, bool) {
@@ -327,9 +310,8 @@
 // that the worker sent by itself (checkin) proves that the starts in earlier
 // answers did not run: an answer to a direct call may overtake them.
 func (c *Controller) take(now time.Time, m *machine, r *wire.Report, checkin bool) {
-	seen := make(map[taskKey]bool, len(r.Tasks))
-	exited := make(map[exitKey]bool, len(r.Tasks))
-	var orphans []exitKey
+	c.round++
+	m.exited, m.orphans = m.exited[:0], m.orphans[:0]
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		id, index, ok := wire.SplitTask(t.Task)
@@ -338,42 +320,36 @@
 		if !ok || j == nil || index >= j.Tasks {
 			// A task that nobody wants: of a job that ended, or unknown.
 			if t.State == wire.TaskExited {
-				exited[ek] = !m.keep[ek]
+				m.exited = append(m.exited, exit{ek, !m.keep[ek]})
 			} else {
-				orphans = append(orphans, ek)
+				m.orphans = append(m.orphans, ek)
 			}
 			continue
 		}
-		k := taskKey{j, int32(index)}
-		a := m.attempts[k]
+		a := m.find(j, int32(index))
 		if t.State == wire.TaskExited {
 			if a != nil && (a.launch == t.Attempt || a.state == maybe) {
-				seen[k] = true
+				a.round = c.round
 				if a.direct {
 					m.keep[ek] = true
 				}
-				c.exit(now, m, k, a, t)
+				c.exit(now, a, t)
 			} else if t.Why == wire.WhyDone {
-				c.taskDone(now, j, k.index)
+				c.taskDone(now, j, int32(index))
 			}
-			exited[ek] = (t.Why != wire.WhyDone || j.isDurable(k.index)) && !m.keep[ek]
+			m.exited = append(m.exited, exit{ek, (t.Why != wire.WhyDone || j.isDurable(int32(index))) && !m.keep[ek]})
 			continue
 		}
-		if a != nil && a.state != maybe && a.launch != t.Attempt {
-			// Another attempt of a task that is to run here; the worker
-			// refuses the newer one, so it is the listed one that counts.
-			if a.state == recording || a.state == ordered {
-				a.launch = t.Attempt
-			}
-		}
 		if a == nil {
-			a = &attempt{launch: t.Attempt, orderedAt: now}
-			c.hold(m, k, a)
+			a = &attempt{orderedAt: now}
+			c.hold(m, j, int32(index), a)
 			if j.state == jobActive {
-				j.unready(k.index)
+				j.unready(int32(index))
 			}
 		}
-		seen[k] = true
+		a.round = c.round
+		// Another attempt of a task that is to run here makes the worker refuse
+		// the newer one, so it is the listed one that counts.
 		a.launch = t.Attempt
 		if j.state != jobActive || j.done.Has(index) {
 			a.stop, a.grace = true, 0
@@ -387,6 +363,9 @@
 		default:
 			a.state = fetching
 		}
+		if a.state != was {
+			m.stale = true
+		}
 		if (a.state == running || a.state == saving) && was != running && was != saving {
 			j.running++
 			a.runningAt = now
@@ -394,16 +373,16 @@
 			c.changed = true
 		}
 	}
-	for _, k := range sortedTasks(m) {
-		if seen[k] {
+	for i := len(m.attempts) - 1; i >= 0; i-- {
+		a := m.attempts[i]
+		if a.round == c.round {
 			continue
 		}
-		a := m.attempts[k]
 		switch a.state {
 		case recording:
 		case ordered:
 			if a.direct {
-				if !a.wanted(k) && m.fenceBy.IsZero() {
+				if !a.wanted() && m.fenceBy.IsZero() {
 					m.draining = true
 					m.fenceBy = now.Add(seconds(c.params.Workers.CancelS / tuning.FenceParts))
 				}
@@ -415,11 +394,11 @@
 			// Not there: the start did not run and, carried only by an
 			// answer now given up, never will.
 			a.sentSeq = 0
-			if !a.wanted(k) || !c.open(now, m) {
-				c.drop(now, m, k)
+			if !a.wanted() || !c.open(now, m) {
+				c.drop(now, a)
 			}
 		default:
-			c.drop(now, m, k)
+			c.drop(now, a)
 		}
 	}
 	if !m.confirmed {
@@ -428,13 +407,11 @@
 		c.changed = true
 		c.log.Debug().Str("machine", m.id).Int("tasks", len(r.Tasks)).Msg("machine confirmed")
 	}
-	m.exited = exited
-	m.orphans = orphans
 }
 
 // exit handles the end of an attempt by its reason.
-func (c *Controller) exit(now time.Time, m *machine, k taskKey, a *attempt, t *wire.TaskReport) {
-	j := k.job
+func (c *Controller) exit(now time.Time, a *attempt, t *wire.TaskReport) {
+	m, j := a.machine, a.job
 	switch t.Why {
 	case wire.WhyDone:
 		if a.state == running && !a.runningAt.IsZero() {
@@ -443,7 +420,7 @@
 		j.failures = 0
 		clear(m.failing)
 		m.images[j.Image] = now
-		c.taskDone(now, j, k.index)
+		c.taskDone(now, j, a.index)
 	case wire.WhyError:
 		c.log.Debug().Str("machine", m.id).Str("task", t.Task).Msg("task failed")
 		c.failed(now, j)
@@ -458,7 +435,7 @@
 	case wire.WhyUnknown:
 		c.backOff(j, now.Add(tuning.UnknownPause))
 	}
-	c.drop(now, m, k)
+	c.drop(now, a)
 }
 
 // observe learns how run times compare with estimates, per class.
@@ -492,12 +469,12 @@
 	}
 	left := m.noticeEnds.Sub(now).Seconds()
 	margin := tuning.NoticeSlack.Seconds()
-	for k, a := range m.attempts {
-		if a.stop || k.job.CheckpointS <= 0 || a.state != running {
+	for _, a := range m.attempts {
+		if a.stop || a.job.CheckpointS <= 0 || a.state != running {
 			continue
 		}
-		if left <= k.job.SaveS+margin {
-			a.stop, a.grace = true, k.job.SaveS
+		if left <= a.job.SaveS+margin {
+			a.stop, a.grace = true, a.job.SaveS
 		}
 	}
 }
@@ -505,44 +482,30 @@
 // commands puts orders into an answer: forgets first, then stops, then starts.
 func (c *Controller) commands(now time.Time, m *machine, seq uint64, authority bool, answer *wire.ReportAnswer) {
 	out := answer.Commands
-	exits := make([]exitKey, 0, len(m.exited))
-	for e, may := range m.exited {
-		if may {
-			exits = append(exits, e)
-		}
-	}
-	sort.Slice(exits, func(i, j int) bool {
-		if exits[i].task != exits[j].task {
-			return exits[i].task < exits[j].task
+	for _, e := range m.exited {
+		if e.forget && len(out) < tuning.AnswerCommands {
+			out = append(out, wire.Command{Op: wire.OpForget, Task: e.task, Attempt: e.attempt})
 		}
-		return exits[i].attempt < exits[j].attempt
-	})
-	for _, e := range exits {
-		out = append(out, wire.Command{Op: wire.OpForget, Task: e.task, Attempt: e.attempt})
 	}
 	zero := 0.0
 	for _, o := range m.orphans {
-		out = append(out, wire.Command{Op: wire.OpStop, Task: o.task, Attempt: o.attempt, GraceS: &zero})
-	}
-	keys := sortedTasks(m)
-	for _, k := range keys {
-		a := m.attempts[k]
-		if !a.stop || a.state < fetching || len(out) >= tuning.AnswerCommands {
-			continue
+		if len(out) < tuning.AnswerCommands {
+			out = append(out, wire.Command{Op: wire.OpStop, Task: o.task, Attempt: o.attempt, GraceS: &zero})
 		}
-		if a.state == saving && a.grace > 0 {
+	}
+	for _, a := range m.attempts {
+		if !a.stop || a.state < fetching || a.state == saving && a.grace > 0 || len(out) >= tuning.AnswerCommands {
 			continue
 		}
-		out = append(out, a.stopCommand(k))
+		out = append(out, a.stopCommand())
 	}
 	if authority && !m.releasing {
-		for _, k := range keys {
-			a := m.attempts[k]
-			if a.state != ordered || !a.wanted(k) || a.direct && m.calling || len(out) >= tuning.AnswerCommands {
+		for _, a := range m.attempts {
+			if a.state != ordered || !a.wanted() || a.direct && m.calling || len(out) >= tuning.AnswerCommands {
 				continue
 			}
 			a.sentSeq = seq
-			out = append(out, a.startCommand(k))
+			out = append(out, a.startCommand())
 		}
 	}
 	answer.Commands = out
@@ -568,7 +531,7 @@
 
 // expire drops what was on machines whose lease has run out.
 func (c *Controller) expire(now time.Time) {
-	for _, m := range c.sortedMachines() {
+	for _, m := range c.order {
 		if (len(m.attempts) > 0 || !m.confirmed) && c.leaseOver(now, m) && (m.up || m.recorded) {
 			if len(m.attempts) > 0 {
 				c.log.Info().Str("machine", m.id).Int("tasks", len(m.attempts)).Msg("lease over")
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -1,8 +1,10 @@
 package controller
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -16,7 +18,10 @@
 // completions to write and, with authority, a placement pass.
 func (c *Controller) Tick(now time.Time, authority bool) {
 	c.flushDone(now)
-	c.expire(now)
+	if now.Sub(c.lastLook) >= tuning.TickEvery {
+		c.lastLook = now
+		c.expire(now)
+	}
 	if authority && now.Sub(c.lastPass) >= tuning.PassGap && (c.changed || now.Sub(c.lastPass) >= time.Second) {
 		c.changed = false
 		c.lastPass = now
@@ -31,7 +36,7 @@
 		return
 	}
 	var machines []*sched.Machine
-	for _, m := range c.sortedMachines() {
+	for _, m := range c.order {
 		if c.open(now, m) {
 			machines = append(machines, c.snapshot(now, m))
 		}
@@ -43,39 +48,57 @@
 	for name, t := range c.teams {
 		teams[name] = &sched.Team{Used: t.used, Max: sched.Resources{CPUs: t.CPUsMax, GPUs: t.GPUsMax, MemoryGB: math.Inf(1)}}
 	}
-	starts := sched.Pass(ready, machines, teams, tuning.PassStarts)
-	touched := map[*machine][]*attempt{}
-	var order []*machine
+	starts, work := sched.Pass(c.clock(now), c.withAged(now, ready, byID), machines, teams, tuning.PassStarts)
+	c.scores += work.Scores
+	for _, v := range machines {
+		if v.Touched {
+			c.machines[v.ID].stale = true
+		}
+	}
 	for _, s := range starts {
 		j, m := byID[s.Job], c.machines[s.Machine]
 		last := len(j.ready) - 1
-		k := taskKey{j, j.ready[last]}
+		index := j.ready[last]
 		j.ready = j.ready[:last]
-		a := &attempt{launch: c.nextLaunch(), state: recording, orderedAt: now}
-		c.hold(m, k, a)
-		if touched[m] == nil {
-			order = append(order, m)
-		}
-		touched[m] = append(touched[m], a)
-	}
-	for _, m := range order {
-		started := touched[m]
+		j.startAt = now
 		// The start may go out only once the record of it is durable: a
 		// successor must know which machine to ask for the task.
-		c.record(m, func() {
-			c.orders = true
-			for _, a := range started {
-				if a.state == recording {
-					a.state = ordered
-				}
-			}
-		})
+		a := &attempt{launch: c.nextLaunch(), state: recording, orderedAt: now}
+		c.hold(m, j, index, a)
+		c.logStart(a)
 	}
-	if len(starts) == tuning.PassStarts {
+	if work.Unfinished {
 		c.changed = true
 		return
 	}
-	c.preempt(now, ready, byID)
+	if now.Sub(c.lastStop) >= tuning.PreemptEvery {
+		c.lastStop = now
+		c.preempt(now, ready, byID)
+	}
+}
+
+// clock is the time of placement passes, in seconds.
+func (c *Controller) clock(now time.Time) float64 { return now.Sub(c.started).Seconds() }
+
+// withAged puts some tasks of the jobs that have waited long without a start
+// before all others. Priority, urgency and size decide who goes first, but
+// nobody waits for ever: a lasting backlog of smaller or more urgent work
+// would otherwise keep a large job from ever beginning.
+func (c *Controller) withAged(now time.Time, ready []*sched.Ready, byID map[string]*job) []*sched.Ready {
+	all := ready
+	for _, r := range ready {
+		j := byID[r.Job]
+		if now.Sub(j.startAt) < tuning.AgeAfter {
+			continue
+		}
+		first := *r
+		first.Aged = true
+		first.Tasks = min(r.Tasks, max(1, int(float64(j.Tasks)*tuning.AgedShare)))
+		// Both see the same places taken.
+		r.Tasks -= first.Tasks
+		all = append(all, &first)
+	}
+	return all
 }
 
 // readyJobs lists jobs with tasks to place, oldest first.
@@ -161,28 +184,42 @@
 	return fits
 }
 
-// snapshot describes a machine to the placement rule.
+// snapshot describes a machine to the placement rule. It is made anew only
+// when something has changed there.
 func (c *Controller) snapshot(now time.Time, m *machine) *sched.Machine {
-	t := c.types[m.typ]
-	s := &sched.Machine{
-		ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot,
-		Total: m.total, Free: m.free, FetchGBPerS: t.FetchGBPerS, Price: c.price(m),
-		Images: map[string]float64{}, Avoid: m.avoid,
+	if !m.stale {
+		return m.view
 	}
+	m.stale = false
+	t := c.types[m.typ]
+	at := c.clock(now)
+	s := m.view
+	if s == nil {
+		s = &sched.Machine{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Avoid: m.avoid, Images: map[string]float64{}}
+		m.view = s
+	}
+	s.Touched = false
+	s.Total, s.Free, s.FetchGBPerS, s.Price = m.total, m.free, t.FetchGBPerS, c.price(m)
+	s.Loads = s.Loads[:0]
+	clear(s.Images)
 	for image := range m.images {
 		s.Images[image] = 0
 	}
-	for _, k := range sortedTasks(m) {
-		a := m.attempts[k]
-		fetch := 0.0
-		if _, cached := m.images[k.job.Image]; !cached && t.FetchGBPerS > 0 {
-			fetch = max(0, sched.FetchTime(k.job.ImageGB, t.FetchGBPerS)-now.Sub(a.orderedAt).Seconds())
-			if old, ok := s.Images[k.job.Image]; !ok || fetch > old {
-				s.Images[k.job.Image] = fetch
+	for _, a := range m.attempts {
+		there := at
+		if _, cached := m.images[a.job.Image]; !cached && t.FetchGBPerS > 0 {
+			there = c.clock(a.orderedAt) + sched.FetchTime(a.job.ImageGB, t.FetchGBPerS)
+			if there > s.Images[a.job.Image] {
+				s.Images[a.job.Image] = there
 			}
 		}
-		s.Loads = append(s.Loads, sched.Load{Need: k.job.need, RemainingS: c.remaining(now, k.job, a) + fetch})
+		end := max(there, at) + c.estimate(a.job)
+		if !a.runningAt.IsZero() {
+			end = c.clock(a.runningAt) + c.estimate(a.job)
+		}
+		s.Loads = append(s.Loads, sched.Load{Need: a.job.need, EndS: end})
 	}
+	slices.SortStableFunc(s.Loads, func(a, b sched.Load) int { return cmp.Compare(a.EndS, b.EndS) })
 	return s
 }
 
@@ -195,12 +232,12 @@
 }
 
 // remaining is the run time left of an attempt by its estimate, at least zero.
-func (c *Controller) remaining(now time.Time, j *job, a *attempt) float64 {
+func (c *Controller) remaining(now time.Time, a *attempt) float64 {
 	ran := 0.0
 	if !a.runningAt.IsZero() {
 		ran = now.Sub(a.runningAt).Seconds()
 	}
-	return max(0, c.estimate(j)-ran)
+	return max(0, c.estimate(a.job)-ran)
 }
 
 // Cloud calls.
@@ -248,7 +285,11 @@
 		}
 		return a.Zone < b.Zone
 	})
+	most := max(1, int(c.params.Cloud.RPS*tuning.CloudShare*tuning.RentalsUnderWay))
 	for _, o := range offers {
+		if len(c.renting) >= most {
+			break
+		}
 		c.rentals++
 		r := wire.RentRequest{
 			Request: fmt.Sprintf("r-%d-%d", c.term, c.rentals),
@@ -257,8 +298,13 @@
 		c.renting[r.Request] = &rental{offer: o, count: r.Count, at: now}
 		calls = append(calls, CloudCall{Op: CloudRent, Rent: r})
 	}
+	if c.releasing > 0 {
+		// One release at a time, with all that has come together meanwhile:
+		// the budget of calls is better spent on rentals.
+		return calls
+	}
 	give := plan.Return
-	for _, m := range c.sortedMachines() {
+	for _, m := range c.order {
 		if !m.releasing && c.useless(now, m) {
 			give = append(give, m.id)
 		}
@@ -271,6 +317,7 @@
 		}
 	}
 	if len(names) > 0 {
+		c.releasing++
 		calls = append(calls, CloudCall{Op: CloudRelease, Release: names})
 	}
 	return calls
@@ -310,7 +357,7 @@
 		in.KeepIdle = seconds(c.operator.KeepIdleS)
 	}
 	busy := 0.0
-	for _, m := range c.sortedMachines() {
+	for _, m := range c.order {
 		if m.releasing {
 			continue
 		}
@@ -323,10 +370,9 @@
 		if !m.up {
 			p.ReadyInS = max(0, t.BootS-now.Sub(m.rentedAt).Seconds())
 		}
-		for _, k := range sortedTasks(m) {
-			a := m.attempts[k]
-			p.BusyS += c.remaining(now, k.job, a) * k.job.CPUs
-			busy += k.job.CPUs
+		for _, a := range m.attempts {
+			p.BusyS += c.remaining(now, a) * a.job.CPUs
+			busy += a.job.CPUs
 		}
 		in.Machines = append(in.Machines, p)
 	}
@@ -443,6 +489,7 @@
 
 // Released takes in that machines, and all on them, are gone.
 func (c *Controller) Released(now time.Time, names []string) {
+	c.releasing = max(0, c.releasing-1)
 	for _, id := range names {
 		c.released[id] = true
 		m := c.machines[id]
@@ -450,10 +497,7 @@
 			continue
 		}
 		c.dropAll(now, m)
-		delete(c.machines, id)
-		if m.recorded {
-			c.writes.del(keyMachine(id))
-		}
+		c.removeMachine(m)
 	}
 	c.log.Debug().Strs("machines", names).Msg("released")
 	c.changed = true
@@ -482,7 +526,7 @@
 			m.failed = true
 		}
 	}
-	for _, m := range c.machines {
+	for _, m := range c.order {
 		if !there[m.id] && (m.listed || m.recorded) {
 			m.missing++
 		}
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -11,22 +11,20 @@
 
 // victim is a running task that could make room.
 type victim struct {
-	machine *machine
-	key     taskKey
-	attempt *attempt
-	lostS   float64
+	*attempt
+	lostS float64
 }
 
 // lost is the progress in seconds that stopping an attempt which saves
 // checkpoints throws away: all since the last one.
-func lost(now time.Time, j *job, a *attempt) float64 {
-	return math.Mod(now.Sub(a.runningAt).Seconds(), j.CheckpointS)
+func lost(now time.Time, a *attempt) float64 {
+	return math.Mod(now.Sub(a.runningAt).Seconds(), a.job.CheckpointS)
 }
 
 // endsSoon reports whether an attempt is about to end by its estimate. One
 // that is over its estimate may go on for long: waiting for it is no plan.
-func (c *Controller) endsSoon(now time.Time, j *job, a *attempt) bool {
-	left := c.remaining(now, j, a)
+func (c *Controller) endsSoon(now time.Time, a *attempt) bool {
+	left := c.remaining(now, a)
 	return a.state == running && left > 0 && left < tuning.PreemptPatience.Seconds()
 }
 
@@ -46,7 +44,7 @@
 	}
 	sort.SliceStable(waiting, func(i, k int) bool { return waiting[i].Level < waiting[k].Level })
 	for _, j := range c.jobs {
-		if j.running > 0 {
+		if j.running > 0 && j.CheckpointS > 0 {
 			lowest = max(lowest, j.level)
 		}
 	}
@@ -57,38 +55,37 @@
 	coming := map[*machine]sched.Resources{}
 	leaving := map[string]float64{} // CPUs of stopping tasks, by team
 	candidates := map[*machine][]victim{}
-	machines := c.sortedMachines()
+	machines := c.order
 	for _, m := range machines {
 		if !c.open(now, m) {
 			continue
 		}
 		coming[m] = m.free
-		for _, k := range sortedTasks(m) {
-			a := m.attempts[k]
+		for _, a := range m.attempts {
 			switch {
-			case a.stop, a.state == saving, c.endsSoon(now, k.job, a):
-				coming[m] = coming[m].Add(k.job.need, 1)
-				leaving[k.job.Team] += k.job.CPUs
-			case a.state == running && k.job.CheckpointS > 0:
-				if l := lost(now, k.job, a); l <= tuning.PreemptLoss.Seconds() {
-					candidates[m] = append(candidates[m], victim{m, k, a, l})
+			case a.stop, a.state == saving, c.endsSoon(now, a):
+				coming[m] = coming[m].Add(a.job.need, 1)
+				leaving[a.job.Team] += a.job.CPUs
+			case a.state == running && a.job.CheckpointS > 0:
+				if l := lost(now, a); l <= tuning.PreemptLoss.Seconds() {
+					candidates[m] = append(candidates[m], victim{a, l})
 				}
 			}
 		}
 		sort.SliceStable(candidates[m], func(i, k int) bool { return candidates[m][i].lostS < candidates[m][k].lostS })
 	}
-	stops := 0
+	stops, looks := 0, 0
 	stop := func(v victim) {
-		v.attempt.stop, v.attempt.grace = true, 0
-		coming[v.machine] = coming[v.machine].Add(v.key.job.need, 1)
-		leaving[v.key.job.Team] += v.key.job.CPUs
+		v.stop, v.grace = true, 0
+		coming[v.machine] = coming[v.machine].Add(v.job.need, 1)
+		leaving[v.job.Team] += v.job.CPUs
 		stops++
-		c.orders = true
+		c.callSoon(v.machine)
 	}
 	spare := func(v victim) {
-		v.attempt.stop = false
-		coming[v.machine] = coming[v.machine].Add(v.key.job.need, -1)
-		leaving[v.key.job.Team] -= v.key.job.CPUs
+		v.stop = false
+		coming[v.machine] = coming[v.machine].Add(v.job.need, -1)
+		leaving[v.job.Team] -= v.job.CPUs
 		stops--
 	}
 	for _, r := range waiting {
@@ -98,7 +95,7 @@
 			continue
 		}
 		for range j.ready {
-			if stops >= tuning.PreemptStops {
+			if looks++; stops >= tuning.PreemptStops || looks > tuning.PreemptLooks {
 				break
 			}
 			var own victim
@@ -138,7 +135,7 @@
 	found := false
 	for _, m := range machines {
 		for _, v := range candidates[m] {
-			if v.key.job.Team == r.Team && v.key.job.level > r.Level && !v.attempt.stop && (!found || v.lostS < best.lostS) {
+			if v.job.Team == r.Team && v.job.level > r.Level && !v.stop && (!found || v.lostS < best.lostS) {
 				best, found = v, true
 			}
 		}
@@ -172,12 +169,12 @@
 		var chosen []victim
 		sum := c.fetchTime(m, r) * r.Need.CPUs * tuning.PreemptFetchWeight
 		for _, v := range candidates[m] {
-			if v.attempt.stop || v.key.job.level <= r.Level {
+			if v.stop || v.job.level <= r.Level {
 				continue
 			}
 			chosen = append(chosen, v)
-			sum += v.lostS * v.key.job.CPUs
-			if room = room.Add(v.key.job.need, 1); room.Fits(r.Need) {
+			sum += v.lostS * v.job.CPUs
+			if room = room.Add(v.job.need, 1); room.Fits(r.Need) {
 				if sum < least {
 					best, victims, least = m, chosen, sum
 				}
--- a/internal/controller/writes.go
+++ b/internal/controller/writes.go
@@ -47,45 +47,67 @@
 // Batch is a group of changes to be committed together.
 type Batch struct {
 	Writes []wire.Write
-	taken  []*write
+	then   []func()
+	size   int
 }
 
-// NextBatch takes the oldest changes, or nil if there are none. Batches must
-// be committed one after the other, each followed by Committed.
-func (c *Controller) NextBatch(maxOps int) *Batch {
-	q := &c.writes
-	if q.len() == 0 {
-		return nil
+// fits reports whether a change of the given size still goes in.
+func (b *Batch) fits(size, maxOps int) bool {
+	return len(b.Writes) < maxOps && (len(b.Writes) == 0 || b.size+size <= tuning.TxnBytes)
+}
+
+func (b *Batch) add(key string, value json.RawMessage, then ...func()) {
+	if value == nil {
+		b.Writes = append(b.Writes, wire.Write{Delete: key})
+	} else {
+		b.Writes = append(b.Writes, wire.Write{Put: key, Value: value})
 	}
-	b := &Batch{}
-	size := 0
-	for q.head < len(q.queue) && len(b.Writes) < maxOps {
+	b.size += changeSize(key, value)
+	b.then = append(b.then, then...)
+}
+
+// changeSize is what a change takes of a transaction, its JSON frame included.
+func changeSize(key string, value json.RawMessage) int { return len(key) + len(value) + 64 }
+
+// take moves changes from the queue into the batch, at most most.
+func (q *writeQueue) take(b *Batch, maxOps, most int) {
+	for ; most > 0 && q.head < len(q.queue); most-- {
 		w := q.queue[q.head]
-		size += len(w.key) + len(w.value) + 64
-		if size > tuning.TxnBytes && len(b.Writes) > 0 {
+		if !b.fits(changeSize(w.key, w.value), maxOps) {
 			break
 		}
 		q.queue[q.head] = nil
 		q.head++
 		delete(q.byKey, w.key)
-		b.taken = append(b.taken, w)
-		if w.value == nil {
-			b.Writes = append(b.Writes, wire.Write{Delete: w.key})
-		} else {
-			b.Writes = append(b.Writes, wire.Write{Put: w.key, Value: w.value})
-		}
+		b.add(w.key, w.value, w.then...)
 	}
 	if q.head == len(q.queue) {
 		q.queue, q.head = q.queue[:0], 0
 	}
+}
+
+// NextBatch takes the changes to be made next, or nil if there are none:
+// first those that users wait for, then the records of starts, then at most
+// spare of the rest (completions, and what can be deleted), as nobody waits
+// for those and they must not use up the budget of the others. Batches must be
+// committed one after the other, each followed by Committed.
+func (c *Controller) NextBatch(maxOps, spare int) *Batch {
+	b := &Batch{}
+	c.urgent.take(b, maxOps, maxOps)
+	c.takeStarts(b, maxOps)
+	c.bulk.take(b, maxOps, spare)
+	if len(b.Writes) == 0 {
+		return nil
+	}
 	return b
 }
 
 // Committed tells that a batch is durable.
 func (c *Controller) Committed(b *Batch) {
-	for _, w := range b.taken {
-		for _, f := range w.then {
-			f()
-		}
+	for _, f := range b.then {
+		f()
 	}
 }
+
+// Pending reports whether changes wait for the state service.
+func (c *Controller) Pending() bool { return c.urgent.len()+c.bulk.len()+len(c.unsaved) > 0 }
--- a/internal/httpc/httpc.go
+++ b/internal/httpc/httpc.go
@@ -4,12 +4,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"time"
 
+	"github.com/goccy/go-json"
 	"github.com/valyala/fasthttp"
 
 	"switchshore.example/switchshore/internal/tuning"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -60,7 +59,7 @@
 		store:    store.NewClient(c.Services.State, c.Params.State, len(c.Peers)+1),
 		cloud:    cloud.NewClient(c.Services.Cloud, c.Params.Cloud),
 		hub:      peer.NewHub(log, c.Peers),
-		workers:  httpc.NewPool(tuning.DirectConnections),
+		workers:  httpc.NewPool(tuning.DirectConnections, controller.DirectSockets(c.Params.Limits)),
 		grace:    controller.Grace(c.Params.Workers),
 		tick:     make(chan struct{}, 1),
 		write:    make(chan struct{}, 1),
@@ -130,11 +129,6 @@
 	return n.reached && now.Sub(n.reachedAt) < tuning.HealthPatience
 }
 
-func refusal(status int, why string) peer.Answer {
-	body, _ := json.Marshal(wire.Error{Error: why})
-	return peer.Answer{Status: status, Body: body}
-}
-
 // Do carries a call out if this node leads, or forwards it to the leader.
 func (n *Node) Do(ctx context.Context, c peer.Call) peer.Answer {
 	if a, mine := n.local(ctx, c); mine {
@@ -151,7 +145,7 @@
 	defer cancel()
 	a, err := n.hub.Forward(ctx, c)
 	if err != nil {
-		return refusal(http.StatusServiceUnavailable, "no leader within reach")
+		return peer.Refusal(http.StatusServiceUnavailable, "no leader within reach")
 	}
 	return a
 }
@@ -169,7 +163,7 @@
 	if c.Op == peer.OpReport {
 		defer n.wake(n.tick)
 		defer n.mu.Unlock()
-		return n.report(now, p, l, c.Body, authority)
+		return n.report(now, p, l, c.Report, authority)
 	}
 	if !authority {
 		n.mu.Unlock()
@@ -183,12 +177,7 @@
 	case peer.OpCancel:
 		p.Cancel(now, c.Job, then)
 	case peer.OpSubmit:
-		var spec wire.Job
-		if err := json.Unmarshal(c.Body, &spec); err != nil {
-			then(controller.Verdict{Status: 400, Why: err.Error()})
-			break
-		}
-		p.Submit(now, time.Now(), &spec, then)
+		p.Submit(now, time.Now(), c.Spec, then)
 	}
 	n.mu.Unlock()
 	n.wake(n.write)
@@ -200,34 +189,28 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return refusal(http.StatusServiceUnavailable, "state service does not answer"), true
+	return peer.Refusal(http.StatusServiceUnavailable, "state service does not answer"), true
 }
 
 func verdictAnswer(c peer.Call, v controller.Verdict) peer.Answer {
 	if v.Status/100 != 2 {
-		return refusal(v.Status, v.Why)
+		return peer.Refusal(v.Status, v.Why)
 	}
-	body, _ := json.Marshal(wire.JobStatus{ID: c.Job, State: v.State, Done: v.Done, Running: v.Run})
-	return peer.Answer{Status: v.Status, Body: body}
+	return peer.Answer{Status: v.Status, Job: &wire.JobStatus{ID: c.Job, State: v.State, Done: v.Done, Running: v.Run}}
 }
 
 // report answers a worker. Called under mu.
-func (n *Node) report(now time.Time, p *controller.Controller, l *election.Leadership, body []byte, authority bool) (peer.Answer, bool) {
+func (n *Node) report(now time.Time, p *controller.Controller, l *election.Leadership, r *wire.Report, authority bool) (peer.Answer, bool) {
 	if !l.Grace(now, n.grace) {
 		return peer.Answer{}, false
 	}
-	r, err := wire.ParseReport(body)
-	if err != nil {
-		return refusal(http.StatusBadRequest, err.Error()), true
-	}
 	answer, entitled := p.Report(now, r, authority)
 	if !entitled {
 		// The worker has seen a later term.
 		l.End()
 		return peer.Answer{}, false
 	}
-	data, _ := json.Marshal(answer)
-	return peer.Answer{Status: http.StatusOK, Body: data}, true
+	return peer.Answer{Status: http.StatusOK, Report: &answer}, true
 }
 
 func (n *Node) wake(ch chan struct{}) {
@@ -294,7 +277,7 @@
 	w := store.NewWriter(l.Term, l.LeaderVersion, l.TermVersion)
 	for {
 		n.mu.Lock()
-		b := p.NextBatch(n.store.MaxOps())
+		b := p.NextBatch(n.store.MaxOps(), n.store.Spare())
 		n.mu.Unlock()
 		if b == nil {
 			select {
@@ -341,7 +324,11 @@
 			todo = p.Plan(now)
 			direct = p.Direct(now)
 		}
-		counts := p.Counts()
+		pending := p.Pending()
+		var counts controller.Counts
+		if now.Sub(summary) > tuning.SummaryEvery {
+			counts = p.Counts()
+		}
 		n.mu.Unlock()
 		for _, call := range direct {
 			calls.Go(func() error {
@@ -349,7 +336,7 @@
 				return nil
 			})
 		}
-		if counts.Writes > 0 {
+		if pending {
 			n.wake(n.write)
 		}
 		for _, call := range todo {
@@ -362,7 +349,7 @@
 			summary = now
 			n.log.Debug().Int("jobs", counts.Jobs).Int("ready", counts.Ready).Int("held", counts.Held).
 				Int("machines", counts.Machines).Int("up", counts.Up).Int("spot", counts.Spot).
-				Float64("cpus", counts.CPUs).Float64("used", counts.UsedCPUs).Float64("wanted", counts.WantedCPUs).Int("writes", counts.Writes).Msg("summary")
+				Float64("cpus", counts.CPUs).Float64("used", counts.UsedCPUs).Float64("wanted", counts.WantedCPUs).Int("writes", counts.Writes).Int("scores", counts.Scores).Msg("summary")
 		}
 		if err := store.Pause(ctx, tuning.TickGap); err != nil {
 			return err
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,18 +6,20 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
+	"github.com/goccy/go-json"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/store"
 	"switchshore.example/switchshore/internal/tuning"
+	"switchshore.example/switchshore/wire"
 )
 
 // Operations that are forwarded.
@@ -30,21 +32,28 @@
 
 // Call is a request on its way to the leader.
 type Call struct {
-	ID   uint64          `json:"id"`
-	Op   string          `json:"op"`
-	Job  string          `json:"job,omitempty"`
-	Body json.RawMessage `json:"body,omitempty"`
+	ID     uint64       `json:"id"`
+	Op     string       `json:"op"`
+	Job    string       `json:"job,omitempty"`
+	Spec   *wire.Job    `json:"spec,omitempty"`
+	Report *wire.Report `json:"report,omitempty"`
 	// Hops counts forwards; a call is relayed once at most.
 	Hops int `json:"hops,omitempty"`
 }
 
-// Answer is a status with a body for the caller.
+// Answer is a status with what the caller is told: of a job, of a report, or
+// why it is refused.
 type Answer struct {
-	ID     uint64          `json:"id"`
-	Status int             `json:"status"`
-	Body   json.RawMessage `json:"body,omitempty"`
+	ID     uint64             `json:"id"`
+	Status int                `json:"status"`
+	Job    *wire.JobStatus    `json:"job,omitempty"`
+	Report *wire.ReportAnswer `json:"report,omitempty"`
+	Why    string             `json:"why,omitempty"`
 }
 
+// Refusal is an answer other than success.
+func Refusal(status int, why string) Answer { return Answer{Status: status, Why: why} }
+
 // Beat says what a node knows of the leader.
 type Beat struct {
 	Node string `json:"node"`
@@ -204,7 +213,8 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer conn.Close()
-	out := &lineWriter{conn: conn}
+	out := newLineWriter(conn)
+	go out.run(ctx)
 	slots := make(chan struct{}, tuning.PeerCalls)
 	_ = readLines(conn, func(m *line) {
 		switch {
@@ -222,7 +232,7 @@
 					_ = out.write(&line{Answer: &a})
 				}(*m.Call)
 			default:
-				_ = out.write(&line{Answer: &Answer{ID: m.Call.ID, Status: 503}})
+				_ = out.write(&line{Answer: &Answer{ID: m.Call.ID, Status: http.StatusServiceUnavailable}})
 			}
 		}
 	})
@@ -262,10 +272,11 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
+	out := newLineWriter(conn)
+	go out.run(ctx)
 	l.mu.Lock()
-	l.out = &lineWriter{conn: conn}
+	l.out = out
 	l.waiting = map[uint64]chan Answer{}
-	out := l.out
 	l.mu.Unlock()
 	go func() {
 		defer cancel()
@@ -344,11 +355,22 @@
 	}
 }
 
-// lineWriter writes whole lines; a write that makes no progress ends the
-// connection.
+// lineWriter writes whole lines. Lines that come while a write is under way,
+// or shortly after one, go out together: at some hundred reports a second a
+// packet and a system call for each would cost more than their content. A
+// write that makes no progress ends the connection, and so does a peer that
+// takes nothing while lines pile up.
 type lineWriter struct {
-	mu   sync.Mutex
 	conn net.Conn
+	wake chan struct{}
+
+	mu      sync.Mutex
+	pending []byte
+	failed  error
+}
+
+func newLineWriter(conn net.Conn) *lineWriter {
+	return &lineWriter{conn: conn, wake: make(chan struct{}, 1)}
 }
 
 func (w *lineWriter) write(m *line) error {
@@ -357,27 +379,68 @@
 		return err
 	}
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	_ = w.conn.SetWriteDeadline(time.Now().Add(tuning.PeerSilence))
-	if _, err = w.conn.Write(append(data, '\n')); err != nil {
+	if w.failed == nil && len(w.pending) > tuning.PeerPending {
+		w.failed = ErrUnreachable
 		_ = w.conn.Close()
 	}
+	if err = w.failed; err == nil {
+		w.pending = append(append(w.pending, data...), '\n')
+	}
+	w.mu.Unlock()
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
 	return err
 }
 
-// readLines calls f for every line until the connection ends or falls silent.
-func readLines(conn net.Conn, f func(*line)) error {
-	s := bufio.NewScanner(conn)
-	s.Buffer(make([]byte, 0, 4096), tuning.PeerLine)
+// run sends the lines until the context ends or the connection fails.
+func (w *lineWriter) run(ctx context.Context) {
+	var sending []byte
 	for {
-		_ = conn.SetReadDeadline(time.Now().Add(tuning.PeerSilence))
-		if !s.Scan() {
-			return s.Err()
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.wake:
 		}
+		w.mu.Lock()
+		sending, w.pending = w.pending, sending[:0]
+		w.mu.Unlock()
+		if len(sending) == 0 {
+			continue
+		}
+		_ = w.conn.SetWriteDeadline(time.Now().Add(tuning.PeerSilence))
+		if _, err := w.conn.Write(sending); err != nil {
+			w.mu.Lock()
+			w.failed = err
+			w.mu.Unlock()
+			_ = w.conn.Close()
+			return
+		}
+		if store.Pause(ctx, tuning.PeerGather) != nil {
+			return
+		}
+	}
+}
+
+// patient is a connection whose reads fail when nothing comes for a while.
+type patient struct{ net.Conn }
+
+func (c patient) Read(b []byte) (int, error) {
+	_ = c.SetReadDeadline(time.Now().Add(tuning.PeerSilence))
+	return c.Conn.Read(b)
+}
+
+// readLines calls f for every line until the connection ends or falls silent.
+func readLines(conn net.Conn, f func(*line)) error {
+	s := bufio.NewScanner(patient{conn})
+	s.Buffer(make([]byte, 0, tuning.PeerBuffer), tuning.PeerLine)
+	for s.Scan() {
 		var m line
 		if err := json.Unmarshal(s.Bytes(), &m); err != nil {
 			return err
 		}
 		f(&m)
 	}
+	return s.Err()
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -8,12 +8,13 @@
 package sched
 
 import (
+	"container/heap"
 	"math"
 	"slices"
 	"sort"
+	"strings"
 
 	"switchshore.example/switchshore/internal/tuning"
-	"switchshore.example/switchshore/wire"
 )
 
 // Resources are amounts of a machine.
@@ -37,11 +38,14 @@
 // Load is a task that runs on, is being started on or is queued for a machine.
 type Load struct {
 	Need Resources
-	// RemainingS is Rncf of the task less the time it has run, at least zero.
-	RemainingS float64
+	// EndS is when the task ends by its estimate, Rncf counted: in seconds on
+	// the clock of the pass.
+	EndS float64
 }
 
-// Machine is the snapshot of a machine that takes tasks.
+// Machine is a machine that takes tasks, as the pass sees it. Its times are
+// points on the clock of the pass, so that a machine on which nothing has
+// changed can be handed to the next pass as it is.
 type Machine struct {
 	ID          string
 	Type        string
@@ -53,14 +57,18 @@
 	// Price orders machines that promise the same finish: work gathers on the
 	// cheap ones, so that dear ones fall idle and can be returned.
 	Price float64
+	// Loads are in the order of their ends.
 	Loads []Load
-	// Images holds the seconds until an image is there, zero when cached.
+	// Images holds when an image is there, zero when it is cached.
 	Images map[string]float64
 	// Avoid names jobs whose tasks failed here.
 	Avoid map[string]bool
+	// Touched is set by a pass that has changed the machine's picture: it has
+	// to be made anew before the next one.
+	Touched bool
 
 	queuedLevel int // lowest priority level with a queued task, -1 for none
-	tasks       int
+	version     int // raised by every change within a pass
 }
 
 // Ready is a job with ready tasks, alike among themselves.
@@ -69,6 +77,9 @@
 	Team       string
 	Level      int
 	Guaranteed bool
+	// Aged jobs have waited long without a start: they go before all others,
+	// whatever their level.
+	Aged bool
 	// Urgency orders jobs of one level, lower first, in steps within which
 	// the speedup decides: the seconds that may pass before the job is late.
 	Urgency   float64
@@ -87,10 +98,9 @@
 	// InZone counts the job's tasks that may be on machines, by zone.
 	InZone map[string]int
 
-	best   *Machine
-	score  float64
-	wait   float64
-	closed bool
+	choices []choice // a heap, the best machine first
+	scored  bool
+	closed  bool
 }
 
 // Team is a team's use and limit.
@@ -137,17 +147,19 @@
 
 // fetch is the time until the machine has the job's image: T(f) counted only
 // for what the cache lacks; other fetches under way share the rate.
-func (m *Machine) fetch(image string, gb float64) float64 {
-	if left, ok := m.Images[image]; ok {
-		return left
+func (m *Machine) fetch(now float64, image string, gb float64) float64 {
+	if at, ok := m.Images[image]; ok {
+		return max(0, at-now)
 	}
 	if m.FetchGBPerS <= 0 {
 		return 0
 	}
 	// Whole milliseconds, so that the order of the sum doesn't matter.
 	var others float64
-	for _, left := range m.Images {
-		others += math.Round(left * 1000)
+	for _, at := range m.Images {
+		if at > now {
+			others += math.Round((at - now) * 1000)
+		}
 	}
 	return FetchTime(gb, m.FetchGBPerS) + others/1000
 }
@@ -156,7 +168,7 @@
 // and queues there; zero only if there is room now. A task over its estimate
 // has no time left by the floor, but it is still there: taking its room for
 // free made machines refuse starts.
-func (m *Machine) waitFor(need Resources) float64 {
+func (m *Machine) waitFor(now float64, need Resources) float64 {
 	if m.Free.Fits(need) {
 		return 0
 	}
@@ -164,173 +176,324 @@
 	for _, l := range m.Loads {
 		free = free.Add(l.Need, 1)
 		if free.Fits(need) {
-			return max(l.RemainingS, tuning.OverdueS)
+			return max(l.EndS-now, tuning.OverdueS)
 		}
 	}
 	return math.Inf(1)
 }
 
 func (m *Machine) addLoad(l Load) {
-	i := sort.Search(len(m.Loads), func(i int) bool { return m.Loads[i].RemainingS > l.RemainingS })
+	i := sort.Search(len(m.Loads), func(i int) bool { return m.Loads[i].EndS > l.EndS })
 	m.Loads = slices.Insert(m.Loads, i, l)
 }
 
-// speedup is S(t, vm) = Rs(t) - Rvm(t, vm). R(t) cancels out: what is left
-// is the fetch on an empty machine less the fetch and the wait on this one.
-func (r *Ready) speedup(m *Machine) (score, wait float64) {
-	wait = m.waitFor(r.Need)
+// choice is a machine scored for a job.
+type choice struct {
+	m       *Machine
+	version int // of the machine when it was scored
+	score   int64
+	wait    float64
+}
+
+// better orders choices: the larger speedup, then the cheaper machine, then
+// the fuller one.
+func (a *choice) better(b *choice) bool {
+	if a.score != b.score {
+		return a.score > b.score
+	}
+	if a.m.Price != b.m.Price {
+		return a.m.Price < b.m.Price
+	}
+	if a.m.Free.CPUs != b.m.Free.CPUs {
+		return a.m.Free.CPUs < b.m.Free.CPUs
+	}
+	return a.m.ID < b.m.ID
+}
+
+// choices is a heap; the jobs' own slices are used, so that a pass allocates
+// little.
+type choices []choice
+
+func (h choices) Len() int           { return len(h) }
+func (h choices) Less(i, j int) bool { return h[i].better(&h[j]) }
+func (h choices) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *choices) Push(x any)        { *h = append(*h, x.(choice)) }
+
+// Pop drops the last entry; only its place is wanted.
+func (h *choices) Pop() any {
+	*h = (*h)[:len(*h)-1]
+	return nil
+}
+
+// Work counts what a pass has done, so that its cost can be bounded.
+type Work struct {
+	// Scores is the number of pairs of job and machine looked at.
+	Scores int
+	// Unfinished: the bounds were reached before the work was.
+	Unfinished bool
+}
+
+// pass is one placement pass.
+type pass struct {
+	now      float64
+	machines []*Machine
+	teams    map[string]*Team
+	limit    int
+	starts   []Start
+	queued   int
+	full     int // the level for whose jobs no machine has room, -1 for none
+	work     Work
+}
+
+// score is S(t, vm) = Rs(t) - Rvm(t, vm) in microseconds, and the wait for
+// room in it; false if the machine can't have the task. R(t) cancels out: what
+// is left is the fetch on an empty machine less the fetch and the wait here.
+func (p *pass) score(r *Ready, m *Machine) (choice, bool) {
+	p.work.Scores++
+	if m.queuedLevel >= 0 && m.queuedLevel < r.Level && !r.Aged || len(m.Loads) >= tuning.MachineTasks || m.Avoid[r.Job] || !r.Allowed(m) {
+		return choice{}, false
+	}
+	wait := m.waitFor(p.now, r.Need)
 	if math.IsInf(wait, 1) {
-		return math.Inf(-1), wait
+		return choice{}, false
 	}
-	return FetchTime(r.ImageGB, m.FetchGBPerS) - (wait + m.fetch(r.Image, r.ImageGB)), wait
+	s := FetchTime(r.ImageGB, m.FetchGBPerS) - wait - m.fetch(p.now, r.Image, r.ImageGB)
+	return choice{m: m, version: m.version, score: int64(math.Round(s * 1e6)), wait: wait}, true
 }
 
-// pick finds the machine with the largest speedup for the job.
-func (r *Ready) pick(machines []*Machine) {
-	r.best, r.score, r.wait = nil, math.Inf(-1), 0
-	for _, m := range machines {
-		if m.queuedLevel >= 0 && m.queuedLevel < r.Level || m.Avoid[r.Job] || m.tasks >= tuning.MachineTasks || !r.Allowed(m) {
+// scoreAll makes the job's heap. Machines with room are scored first. A busy
+// one is looked at only where it can win: if it has the image and no machine
+// with room has, or if no machine has room at all for the task, which then
+// waits in line so that smaller work doesn't take the room that it needs.
+func (p *pass) scoreAll(r *Ready) {
+	r.scored = true
+	r.choices = r.choices[:0]
+	cached := false
+	for _, m := range p.machines {
+		if !m.Free.Fits(r.Need) {
 			continue
 		}
-		score, wait := r.speedup(m)
-		if math.IsInf(score, -1) {
-			continue
-		}
-		if r.best == nil || score > r.score+epsilon || score > r.score-epsilon && prefer(m, r.best) {
-			r.best, r.score, r.wait = m, score, wait
+		if c, ok := p.score(r, m); ok {
+			r.choices = append(r.choices, c)
+			at, here := m.Images[r.Image]
+			cached = cached || here && at <= p.now
 		}
 	}
-}
-
-// prefer breaks ties between machines: the cheaper one, then the fuller one.
-func prefer(a, b *Machine) bool {
-	if a.Price != b.Price {
-		return a.Price < b.Price
-	}
-	if a.Free.CPUs != b.Free.CPUs {
-		return a.Free.CPUs < b.Free.CPUs
+	if none := len(r.choices) == 0; !cached && r.ImageGB > 0 || none {
+		for _, m := range p.machines {
+			if m.Free.Fits(r.Need) {
+				continue
+			}
+			if _, here := m.Images[r.Image]; !here && !none {
+				continue
+			}
+			if c, ok := p.score(r, m); ok {
+				r.choices = append(r.choices, c)
+			}
+		}
 	}
-	return a.ID < b.ID
+	heap.Init((*choices)(&r.choices))
 }
 
-// before orders candidates of one level: teams within their guarantee before
-// borrowers, the more urgent job, then the larger speedup.
-func before(a, b *Ready) bool {
-	if a.Guaranteed != b.Guaranteed {
-		return a.Guaranteed
-	}
-	if ua, ub := math.Floor(a.Urgency/tuning.UrgencyStep), math.Floor(b.Urgency/tuning.UrgencyStep); ua != ub {
-		return ua < ub
+// best brings the best machine to the top of the job's heap: entries scored
+// before their machine changed are scored again. It is nil if there is none.
+func (p *pass) best(r *Ready) *choice {
+	if !r.scored {
+		p.scoreAll(r)
 	}
-	if math.Abs(a.score-b.score) > epsilon {
-		return a.score > b.score
+	h := (*choices)(&r.choices)
+	for len(r.choices) > 0 {
+		top := &r.choices[0]
+		if top.version == top.m.version && (!r.OneZone && !r.Spread || r.Allowed(top.m)) {
+			return top
+		}
+		if c, ok := p.score(r, top.m); ok {
+			r.choices[0] = c
+			heap.Fix(h, 0)
+		} else {
+			heap.Pop(h)
+		}
 	}
-	return a.Job < b.Job
+	return nil
 }
 
 // Pass places ready tasks of the highest priority first, queuing them behind
 // busy machines where they finish earlier, and goes on with lower priorities
-// on what room is left. The snapshot is used up.
-func Pass(ready []*Ready, machines []*Machine, teams map[string]*Team, limit int) []Start {
+// on what room is left. now is the time on the clock of the machines. It ends
+// after limit starts, or after a bounded number of scores.
+func Pass(now float64, ready []*Ready, machines []*Machine, teams map[string]*Team, limit int) ([]Start, Work) {
+	p := &pass{now: now, machines: machines, teams: teams, limit: limit, full: -1}
 	for _, m := range machines {
 		m.queuedLevel = -1
-		m.tasks = len(m.Loads)
-		slices.SortFunc(m.Loads, func(a, b Load) int {
-			switch {
-			case a.RemainingS < b.RemainingS:
-				return -1
-			case a.RemainingS > b.RemainingS:
-				return 1
-			}
-			return 0
-		})
 	}
-	var starts []Start
-	for level := range wire.PriorityLevels {
-		var jobs []*Ready
-		for _, r := range ready {
-			if r.Level == level && r.Tasks > 0 {
-				jobs = append(jobs, r)
-			}
+	jobs := make([]*Ready, 0, len(ready))
+	for _, r := range ready {
+		if r.Tasks > 0 {
+			jobs = append(jobs, r)
 		}
-		starts = passLevel(jobs, machines, teams, limit, starts)
-		if len(starts) >= limit {
+	}
+	slices.SortStableFunc(jobs, compare)
+	for from := 0; from < len(jobs); {
+		to := from + 1
+		for to < len(jobs) && jobs[to].sameLine(jobs[from]) {
+			to++
+		}
+		if jobs[from].Level == p.full && !jobs[from].Aged {
+			from = to
+			continue
+		}
+		if !p.line(jobs[from:to], jobs[to:]) {
+			p.work.Unfinished = true
 			break
 		}
+		from = to
 	}
-	return starts
+	return p.starts, p.work
 }
 
-func passLevel(jobs []*Ready, machines []*Machine, teams map[string]*Team, limit int, starts []Start) []Start {
-	for _, r := range jobs {
-		r.pick(machines)
+// step is the line of a job by urgency.
+func (r *Ready) step() float64 { return math.Floor(r.Urgency / tuning.UrgencyStep) }
+
+// compare orders jobs: aged ones, then by level, those within their team's
+// guarantee before borrowers, then by urgency.
+func compare(a, b *Ready) int {
+	switch {
+	case a.Aged != b.Aged:
+		return yes(b.Aged) - yes(a.Aged)
+	case a.Level != b.Level:
+		return a.Level - b.Level
+	case a.Guaranteed != b.Guaranteed:
+		return yes(b.Guaranteed) - yes(a.Guaranteed)
+	case a.step() != b.step():
+		if a.step() < b.step() {
+			return -1
+		}
+		return 1
 	}
-	for len(starts) < limit {
+	return strings.Compare(a.Job, b.Job)
+}
+
+func yes(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// sameLine reports whether the speedup decides between two jobs.
+func (r *Ready) sameLine(o *Ready) bool {
+	return r.Aged == o.Aged && r.Level == o.Level && r.Guaranteed == o.Guaranteed && r.step() == o.step()
+}
+
+// line places the tasks of jobs among which the speedup decides; later are
+// the jobs that come after them. It is false if the pass has to end.
+func (p *pass) line(jobs, later []*Ready) bool {
+	for {
+		if len(p.starts) >= p.limit || p.work.Scores > tuning.PassScores {
+			return false
+		}
 		var next *Ready
+		var best *choice
 		for _, r := range jobs {
-			if r.closed || r.Tasks == 0 || r.best == nil {
+			if r.closed || r.Tasks == 0 {
 				continue
 			}
-			team := teams[r.Team]
+			team := p.teams[r.Team]
 			if team == nil || !team.Max.Fits(team.Used.Add(r.Need, 1)) {
 				// The team is at its limit: the next ones are scored instead.
 				r.closed = true
 				continue
 			}
-			if next == nil || before(r, next) {
-				next = r
+			c := p.best(r)
+			if c == nil {
+				r.closed = true
+				continue
+			}
+			if next == nil || c.score > best.score {
+				next, best = r, c
 			}
 		}
 		if next == nil {
-			return starts
+			return true
 		}
-		m := next.best
-		fetch := m.fetch(next.Image, next.ImageGB)
-		next.Tasks--
-		m.tasks++
-		if m.Images == nil {
-			m.Images = map[string]float64{}
-		}
-		if next.wait == 0 {
-			starts = append(starts, Start{Job: next.Job, Machine: m.ID})
-			m.Images[next.Image] = fetch
-			if next.InZone == nil {
-				next.InZone = map[string]int{}
+		if best.wait > 0 {
+			// The paper waits for an idle machine before it queues anything, so
+			// as not to become a static schedule.
+			if p.queued >= tuning.PassQueues {
+				return true
+			}
+			if !next.Aged && !p.anyRoom(jobs, later) {
+				p.full = next.Level
+				return true
 			}
-			next.InZone[m.Zone]++
-			team := teams[next.Team]
-			team.Used = team.Used.Add(next.Need, 1)
-		} else if m.queuedLevel < 0 {
-			m.queuedLevel = next.Level
 		}
-		m.Free = m.Free.Add(next.Need, -1)
-		m.addLoad(Load{Need: next.Need, RemainingS: next.wait + fetch + next.EstimateS})
-		room := false
-		for _, r := range jobs {
-			if r.Tasks > 0 && !r.closed && (r == next || r.best == m || r.Image == next.Image) {
-				r.pick(machines)
+		p.assign(next, *best, jobs)
+	}
+}
+
+// assign gives one task of the job to the machine: to start now, or to its
+// queue, which lives for the pass only.
+func (p *pass) assign(r *Ready, c choice, jobs []*Ready) {
+	m := c.m
+	_, known := m.Images[r.Image]
+	fetch := m.fetch(p.now, r.Image, r.ImageGB)
+	r.Tasks--
+	m.Touched = true
+	m.version++
+	if c.wait == 0 {
+		p.starts = append(p.starts, Start{Job: r.Job, Machine: m.ID})
+		if !known {
+			if m.Images == nil {
+				m.Images = map[string]float64{}
 			}
-			room = room || r.Tasks > 0 && !r.closed && r.best != nil && r.wait == 0
+			m.Images[r.Image] = p.now + fetch
+		}
+		if r.InZone == nil {
+			r.InZone = map[string]int{}
 		}
-		if !room && !anyRoom(jobs, machines) {
-			return starts
+		r.InZone[m.Zone]++
+		team := p.teams[r.Team]
+		team.Used = team.Used.Add(r.Need, 1)
+	} else {
+		p.queued++
+		if m.queuedLevel < 0 {
+			m.queuedLevel = r.Level
+		}
+	}
+	m.Free = m.Free.Add(r.Need, -1)
+	m.addLoad(Load{Need: r.Need, EndS: p.now + c.wait + fetch + r.EstimateS})
+	if known || c.wait > 0 {
+		return
+	}
+	// An image under way makes the machine better for the other jobs that
+	// need it; all other changes make machines worse, which best finds out.
+	for _, o := range jobs {
+		if o != r && o.scored && !o.closed && o.Image == r.Image {
+			if c, ok := p.score(o, m); ok {
+				heap.Push((*choices)(&o.choices), c)
+			}
 		}
 	}
-	return starts
 }
 
-// anyRoom reports whether some machine could start a task of the jobs now;
-// without one, nothing is queued: the paper waits for an idle machine, so as
-// not to become a static schedule.
-func anyRoom(jobs []*Ready, machines []*Machine) bool {
-	for _, r := range jobs {
-		if r.Tasks == 0 || r.closed {
-			continue
-		}
-		for _, m := range machines {
-			if m.Free.Fits(r.Need) && r.Allowed(m) && !m.Avoid[r.Job] && (m.queuedLevel < 0 || m.queuedLevel >= r.Level) {
-				return true
+// anyRoom reports whether some machine could start a task of the jobs of the
+// line's level, or of the line itself, now.
+func (p *pass) anyRoom(jobs, later []*Ready) bool {
+	level := jobs[0].Level
+	for _, list := range [][]*Ready{jobs, later} {
+		for _, r := range list {
+			if r.Level != level {
+				return false
+			}
+			if r.Tasks == 0 || r.closed {
+				continue
+			}
+			for _, m := range p.machines {
+				if m.Free.Fits(r.Need) && r.Allowed(m) && !m.Avoid[r.Job] && (m.queuedLevel < 0 || m.queuedLevel >= r.Level) {
+					return true
+				}
 			}
+			p.work.Scores += len(p.machines) / 8
 		}
 	}
 	return false
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -1,8 +1,10 @@
 package sched_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"switchshore.example/switchshore/internal/sched"
@@ -34,8 +36,8 @@
 		busy, idle := vm("busy", 1), vm("idle", 1)
 		busy.Free = sched.Resources{MemoryGB: 99}
 		busy.Images["img"] = 0
-		busy.Loads = []sched.Load{{Need: sched.Resources{CPUs: 1, MemoryGB: 1}, RemainingS: c.remaining}}
-		got := sched.Pass([]*sched.Ready{job("j", 0, 1)}, []*sched.Machine{busy, idle}, unlimited(), 10)
+		busy.Loads = []sched.Load{{Need: sched.Resources{CPUs: 1, MemoryGB: 1}, EndS: 100 + c.remaining}}
+		got, _ := sched.Pass(100, []*sched.Ready{job("j", 0, 1)}, []*sched.Machine{busy, idle}, unlimited(), 10)
 		if fmt.Sprint(got) != c.want {
 			t.Errorf("remaining %v: %v, want %v", c.remaining, got, c.want)
 		}
@@ -47,7 +49,7 @@
 	teams["red"] = &sched.Team{Max: sched.Resources{CPUs: 1, MemoryGB: 100}}
 	high := job("high", 0, 3)
 	high.Team = "red"
-	got := sched.Pass([]*sched.Ready{job("low", 2, 9), high}, []*sched.Machine{vm("m", 4)}, teams, 10)
+	got, _ := sched.Pass(0, []*sched.Ready{job("low", 2, 9), high}, []*sched.Machine{vm("m", 4)}, teams, 10)
 	if fmt.Sprint(got) != "[{high m} {low m} {low m} {low m}]" {
 		t.Fatal(got)
 	}
@@ -70,7 +72,8 @@
 				need := sched.Resources{CPUs: float64(1 + rng.IntN(3)), MemoryGB: 1}
 				if m.Free.Fits(need) {
 					m.Free = m.Free.Add(need, -1)
-					m.Loads = append(m.Loads, sched.Load{Need: need, RemainingS: float64(rng.IntN(3))})
+					m.Loads = append(m.Loads, sched.Load{Need: need, EndS: float64(rng.IntN(3))})
+					slices.SortFunc(m.Loads, func(a, b sched.Load) int { return cmp.Compare(a.EndS, b.EndS) })
 				}
 			}
 			free[m.ID], zone[m.ID] = m.Free, m.Zone
@@ -92,7 +95,8 @@
 		teams := map[string]*sched.Team{"blue": {Max: sched.Resources{CPUs: limit, GPUs: 1, MemoryGB: 1e9}}}
 		used := 0.0
 		zones := map[string]map[string]int{}
-		for _, s := range sched.Pass(ready, machines, teams, 100) {
+		starts, _ := sched.Pass(0, ready, machines, teams, 100)
+		for _, s := range starts {
 			j := jobs[s.Job]
 			if !free[s.Machine].Fits(j.Need) {
 				t.Fatalf("seed %d: no room for %v", seed, s)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -322,7 +322,7 @@
 		return
 	}
 	if n.batch == nil {
-		if n.batch = p.NextBatch(8); n.batch == nil {
+		if n.batch = p.NextBatch(8, w.rng.IntN(5)); n.batch == nil {
 			w.after(tuning.BatchGap, func() { w.pump(n, p) })
 			return
 		}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -93,6 +93,10 @@
 // write budget's burst.
 func (c *Client) MaxOps() int { return max(1, min(c.state.TxnOps, c.writes.Burst())-1) }
 
+// Spare is the number of changes that can be made now with half of the burst
+// left for those that users wait for.
+func (c *Client) Spare() int { return max(0, int(c.writes.Tokens())-c.writes.Burst()/2) }
+
 func (c *Client) do(ctx context.Context, timeout time.Duration, method, uri string, body, out any) (int, error) {
 	if err := c.requests.Wait(ctx); err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrRefused, err)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -61,14 +61,16 @@
 	TxnBytes = 48 << 10
 	// PageSize is the number of keys asked for at once (protocol: 1,000).
 	PageSize = 1000
-	// PendingWrites bounds the queue of changes; beyond it submissions are
-	// refused with Retry-After.
-	PendingWrites = 4000
+	// ValueShare is the part of the value limit that a start record fills; its
+	// size is reckoned before it is written.
+	ValueShare = 0.9
 	// DoneChunk is the number of tasks whose completion shares one key: even
 	// fragmented, its ranges stay far below the smallest value limit.
 	DoneChunk = 1024
-	// DoneFlush lets completions of one job gather before they are written.
-	DoneFlush = 200 * time.Millisecond
+	// DoneFlush lets completions of one job gather before they are written:
+	// the worker keeps its memory of them until then, so nothing is lost by it,
+	// and many jobs of short tasks are over by then.
+	DoneFlush = 1 * time.Second
 )
 
 // Cloud.
@@ -92,6 +94,9 @@
 	MaxRent = 50
 	// MaxRelease is the largest release (protocol: 100).
 	MaxRelease = 100
+	// RentalsUnderWay bounds the rentals without an answer, in seconds of the
+	// leader's call budget: more would queue up in front of lists and releases.
+	RentalsUnderWay = 1.5
 	// MinimumBill is what a deleted machine costs at least: returning it
 	// earlier saves nothing.
 	MinimumBill = 60 * time.Second
@@ -99,8 +104,9 @@
 
 // Placement.
 const (
-	// PassGap is the pause between two placement passes, to gather changes.
-	PassGap = 40 * time.Millisecond
+	// PassGap is the pause between two placement passes, to gather changes: a
+	// pass looks at every open machine, and its starts share one record.
+	PassGap = 80 * time.Millisecond
 	// TickEvery is the longest pause between two looks at what is due.
 	TickEvery = 200 * time.Millisecond
 	// TickGap is the shortest.
@@ -110,9 +116,22 @@
 	// PassStarts bounds the starts of one pass, for the controller's share of
 	// a core; the rest follows in the next pass.
 	PassStarts = 200
+	// PassScores bounds the pairs of job and machine that one pass looks at:
+	// some milliseconds of work, after which renewals and answers get their
+	// turn; the rest follows in the next pass.
+	PassScores = 20_000
+	// PassQueues bounds the tasks that one pass puts in line behind busy
+	// machines; more would only repeat the same look at the next pass.
+	PassQueues = 128
 	// MachineTasks bounds the tasks running and queued on one machine, so
-	// that its record stays below the value limit of the state service.
+	// that its part of a start record stays far below the value limit.
 	MachineTasks = 128
+	// AgeAfter is how long a job waits without a start before some of its
+	// tasks go first, whatever the priority and urgency of others: no class,
+	// team or large job starves behind a lasting backlog.
+	AgeAfter = 60 * time.Second
+	// AgedShare is the part of a job's tasks that go first then.
+	AgedShare = 0.05
 	// RetryMin and RetryMax bound the exponential pause of a job whose tasks
 	// fail, so that it doesn't starve others.
 	RetryMin = 2 * time.Second
@@ -155,8 +174,13 @@
 	// PreemptFetchWeight is what a second of image fetch counts against a
 	// second of lost progress when room is made.
 	PreemptFetchWeight = 4.0
-	// PreemptStops bounds the tasks stopped in one pass.
+	// PreemptStops bounds the tasks stopped at one look, and PreemptLooks the
+	// waiting tasks for which room is looked for on all machines.
 	PreemptStops = 16
+	PreemptLooks = 48
+	// PreemptEvery paces these looks: a stopped task's room takes about as
+	// long to come free, and each looks at every task on every machine.
+	PreemptEvery = 250 * time.Millisecond
 )
 
 // Direct commands.
@@ -166,8 +190,13 @@
 	// DirectPause keeps a machine to answers to reports after a direct call
 	// that got no answer.
 	DirectPause = 10 * time.Second
-	// DirectConnections bounds the connections to one worker.
-	DirectConnections = 2
+	// DirectConnections bounds the connections to one worker: calls to it
+	// come one after the other.
+	DirectConnections = 1
+	// DirectCalls bounds the direct calls under way without a socket limit.
+	DirectCalls = 64
+	// DirectShare is the part of the socket limit for direct calls.
+	DirectShare = 0.25
 	// FenceParts is the part of cancel_s (one over it) after which a machine
 	// is released that may still get a late start of an ended job.
 	FenceParts = 3
@@ -225,8 +254,10 @@
 	// line of 64 KiB.
 	AnswerCommands = 300
 	// SocketShare is the part of the socket limit given to user and worker
-	// connections.
-	SocketShare = 0.7
+	// connections, WorkerShare that which workers can take of it: what is left
+	// keeps users and health checks answered when all machines report here.
+	SocketShare = 0.6
+	WorkerShare = 0.42
 	// IdleConnection closes connections unused for this long; workers report
 	// every few seconds and users poll about as often.
 	IdleConnection = 90 * time.Second
@@ -237,6 +268,9 @@
 	// MemoryShare is the part of the memory limit at which the collector
 	// works harder.
 	MemoryShare = 0.6
+	// GCPercent lets the heap grow to this many per cent over what is alive
+	// before it is collected: there is far more memory than processor time.
+	GCPercent = 400
 )
 
 // Peers.
@@ -253,6 +287,12 @@
 	PeerCalls = 512
 	// PeerLine bounds a line between nodes: a body with its envelope.
 	PeerLine = 160 << 10
+	// PeerBuffer is read at once, PeerPending may wait to be written: some
+	// seconds of reports.
+	PeerBuffer  = 32 << 10
+	PeerPending = 4 << 20
+	// PeerGather lets lines gather between two writes on a link.
+	PeerGather = 2 * time.Millisecond
 	// HealthPatience is how long a node without a leader within reach still
 	// calls itself healthy, as a succession takes a few seconds and being
 	// marked unhealthy costs more.
--- a/wire/validate.go
+++ b/wire/validate.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"math"
+
+	fast "github.com/goccy/go-json"
 )
 
 // MaxTasks is the largest task count of a job.
@@ -148,8 +150,13 @@
 
 // ParseReport decodes and checks a worker's report; any error means 400.
 func ParseReport(body []byte) (*Report, error) {
+	if !json.Valid(body) {
+		return nil, errors.New("malformed: not JSON")
+	}
 	var r Report
-	if err := json.Unmarshal(body, &r); err != nil {
+	// Some hundred reports a second arrive: the faster decoder, behind the
+	// strict check.
+	if err := fast.Unmarshal(body, &r); err != nil {
 		return nil, fmt.Errorf("malformed: %w", err)
 	}
 	switch {
