--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -507,3 +509,249 @@
 		t.Fatalf("stopped %q, started %q", stops, starts)
 	}
 }
+
+// TestDeafMachineIsReplaced: a machine's reports arrive, but nothing it is told
+// gets there. Its task runs elsewhere as soon as its new session shows that its
+// lease has run out, it gets no more work, and it is released.
+func TestDeafMachineIsReplaced(t *testing.T) {
+	l, tr := running(t)
+	l.Listed(l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+	for range 5 {
+		l.pass(3 * time.Second)
+		l.report("m1", 1, tr)
+	}
+	// Its lease of 15 s has run out: a new session, and the task is gone.
+	l.pass(2 * time.Second)
+	l.report("m1", 2)
+	l.report("m2", 1)
+	l.pass(time.Second)
+	l.commit()
+	if cs := l.report("m1", 2); len(cs) != 0 {
+		t.Fatalf("a deaf machine got %s", ops(cs))
+	}
+	if cs := l.report("m2", 1); ops(cs) != "run job-1/0" {
+		t.Fatalf("want a start elsewhere, got %q", ops(cs))
+	}
+	for i := range 12 {
+		l.pass(3 * time.Second)
+		l.report("m2", 1)
+		l.report("m1", uint64(2+i/5))
+		for _, c := range l.Plan(l.now) {
+			if c.Op == controller.CloudRelease && c.Release[0] == "m1" {
+				return
+			}
+		}
+	}
+	t.Fatal("not replaced")
+}
+
+// TestUnheededStartsGoElsewhere: a machine that ignores several answers in a
+// row keeps no task waiting, long before its lease shows why.
+func TestUnheededStartsGoElsewhere(t *testing.T) {
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	l.submit("job-1")
+	l.report("m1", 1)
+	l.pass(time.Second)
+	l.commit()
+	for range 4 {
+		l.report("m1", 1)
+	}
+	l.report("m2", 1)
+	l.pass(time.Second)
+	l.commit()
+	if cs := l.report("m2", 1); ops(cs) != "run job-1/0" {
+		t.Fatalf("want a start elsewhere, got %q", ops(cs))
+	}
+}
+
+// TestHeardButNeverInThisTerm: a successor hears a machine whose worker never
+// learns of the new term. The task that it may hold does not wait for ever: the
+// machine is released, and only that frees the task.
+func TestHeardButNeverInThisTerm(t *testing.T) {
+	l, tr := running(t)
+	next := newLeader(t, 6, l.now, l.kept)
+	next.Listed(next.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+	for i := range 40 {
+		next.pass(3 * time.Second)
+		next.Report(next.now, &wire.Report{Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: 100 + uint64(i), Token: 5, Tasks: []wire.TaskReport{tr}}, true)
+		next.report("m2", 1)
+		next.commit()
+		if cs := next.report("m2", 1); len(cs) != 0 {
+			t.Fatalf("placed elsewhere before the release: %s", ops(cs))
+		}
+		for _, c := range next.Plan(next.now) {
+			if c.Op != controller.CloudRelease || c.Release[0] != "m1" {
+				continue
+			}
+			next.Released(next.now, c.Release)
+			next.pass(time.Second)
+			next.commit()
+			if cs := next.report("m2", 1); ops(cs) != "run job-1/0" {
+				t.Fatalf("after the release: %q", ops(cs))
+			}
+			return
+		}
+	}
+	t.Fatal("not released")
+}
+
+// TestLateCopiesRenewNothing: reports that come again, late, neither keep a
+// lease from being presumed over nor get an answer, which would renew it.
+func TestLateCopiesRenewNothing(t *testing.T) {
+	l, tr := running(t)
+	late := &wire.Report{Machine: "m1", Addr: "m1:9", Type: "std-8", Zone: "a", Session: 1, Seq: l.seq, Token: 5, Tasks: []wire.TaskReport{tr}}
+	for range 10 {
+		l.pass(2 * time.Second)
+		if a, receipt := l.Report(l.now, late, true); receipt != controller.Stale || len(a.Commands) != 0 {
+			t.Fatalf("a late copy was answered: %v %+v", receipt, a)
+		}
+		l.report("m2", 1)
+	}
+	l.pass(time.Second)
+	l.commit()
+	if cs := l.report("m2", 1); ops(cs) != "run job-1/0" {
+		t.Fatalf("want a start elsewhere once the lease is over, got %q", ops(cs))
+	}
+	late.Seq += 100
+	if _, receipt := l.Report(l.now, late, true); receipt != controller.Stale {
+		t.Fatal("a session known to be over came back")
+	}
+}
+
+// TestNewWorkerIsNotTheOldOne: a worker that answers a direct call with less
+// than was known before the call is another one on the same machine. What it
+// may hold is free only once the machine is released.
+func TestNewWorkerIsNotTheOldOne(t *testing.T) {
+	l, call, _ := called(t)
+	l.DirectDone(l.now, call, controller.DirectAnswered, &wire.Report{
+		Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: 1, Token: 5,
+		Tasks: []wire.TaskReport{{Task: "job-1/0", Attempt: call.Request.Commands[0].Attempt, State: wire.TaskRunning}},
+	})
+	l.Listed(l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+	released := false
+	var release []string
+	for i := range 20 {
+		l.pass(2 * time.Second)
+		if i == 11 { // long after its lease would be over
+			if len(release) == 0 {
+				t.Fatal("not released")
+			}
+			released = true
+			l.Released(l.now, release)
+		}
+		l.report("m2", 1)
+		l.commit()
+		if cs := l.report("m2", 1); len(cs) != 0 && !released {
+			t.Fatalf("placed elsewhere: %s", ops(cs))
+		} else if len(cs) != 0 {
+			return
+		}
+		for _, c := range l.Plan(l.now) {
+			if c.Op == controller.CloudRelease && slices.Contains(c.Release, "m1") {
+				release = c.Release
+			}
+		}
+	}
+	t.Fatal("not placed after its release")
+}
+
+// TestUnansweredCallOutlivesThePresumption: when a machine's lease is presumed
+// over, a start sent directly without an answer may still run, should a new
+// worker have got it: it stays bound until the machine is released.
+func TestUnansweredCallOutlivesThePresumption(t *testing.T) {
+	l, call, _ := called(t)
+	l.DirectDone(l.now, call, controller.DirectUnknown, nil)
+	l.Listed(l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+	for range 40 {
+		l.pass(time.Second)
+		l.report("m2", 1)
+		l.commit()
+		if cs := l.report("m2", 1); len(cs) != 0 {
+			t.Fatalf("placed elsewhere: %s", ops(cs))
+		}
+		for _, c := range l.Plan(l.now) {
+			if c.Op == controller.CloudRelease && c.Release[0] == "m1" {
+				l.Released(l.now, c.Release)
+				l.pass(time.Second)
+				l.commit()
+				if cs := l.report("m2", 1); ops(cs) != "run job-1/0" {
+					t.Fatalf("after the release: %q", ops(cs))
+				}
+				return
+			}
+		}
+	}
+	t.Fatal("not released")
+}
+
+// TestSeenTaskIsRecordedAnew: an older attempt of a task has exited on the
+// machine on which a newer one runs. The record of the start is gone with the
+// first; a successor must know of the second all the same.
+func TestSeenTaskIsRecordedAnew(t *testing.T) {
+	l, tr := running(t)
+	next := newLeader(t, 6, l.now, l.kept)
+	next.seq = 100
+	older := wire.TaskReport{Task: tr.Task, Attempt: 1, State: wire.TaskExited, Why: wire.WhyStopped}
+	next.report("m1", 1, older, tr)
+	next.commit()
+	last := newLeader(t, 7, next.now, next.kept)
+	last.report("m2", 1)
+	last.pass(time.Second)
+	last.commit()
+	if cs := last.report("m2", 1); len(cs) != 0 {
+		t.Fatalf("started a second time: %s", ops(cs))
+	}
+}
+
+// TestLargeJobBegins: under a lasting backlog of smaller and more urgent work
+// of another team a large job of a low priority begins within four minutes, and
+// goes on.
+func TestLargeJobBegins(t *testing.T) {
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	large := spec("job-999999")
+	large.Priority, large.Tasks, large.CPUs, large.EstimateS = wire.PriorityIdle, 40, 8, 20
+	const after = 100 // seconds, when the backlog is there
+	lists := map[string][]wire.TaskReport{"m1": nil, "m2": nil}
+	ends := map[string]time.Time{}
+	first, begun := time.Duration(0), 0
+	for second := range 600 {
+		if second == after {
+			l.Submit(l.now, l.now, large, func(controller.Verdict) {})
+		}
+		// Two machines could do a third of this.
+		small := spec(fmt.Sprintf("job-%06d", second))
+		small.Tasks, small.EstimateS = 4, 6
+		l.Submit(l.now, l.now, small, func(controller.Verdict) {})
+		l.pass(time.Second)
+		l.commit()
+		for _, m := range []string{"m1", "m2"} {
+			for i := range lists[m] {
+				if task := &lists[m][i]; !l.now.Before(ends[task.Task]) {
+					task.State, task.Why = wire.TaskExited, wire.WhyDone
+				}
+			}
+			for _, c := range l.report(m, 1, lists[m]...) {
+				switch c.Op {
+				case wire.OpStart:
+					run := 6 * time.Second
+					if strings.HasPrefix(c.Task, large.ID) {
+						run = 20 * time.Second
+						if begun++; begun == 1 {
+							first = l.now.Sub(start) - after*time.Second
+						}
+					}
+					ends[c.Task] = l.now.Add(run)
+					lists[m] = append(lists[m], wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning})
+				case wire.OpForget:
+					lists[m] = slices.DeleteFunc(lists[m], func(r wire.TaskReport) bool { return r.Task == c.Task })
+				}
+			}
+		}
+	}
+	if begun == 0 || first > 4*time.Minute {
+		t.Fatalf("%d tasks begun, the first after %v", begun, first)
+	}
+	if begun < 2 {
+		t.Fatalf("only %d tasks begun, the first after %v: it does not go on", begun, first)
+	}
+}
--- /dev/null
+++ b/internal/controller/grown_test.go
@@ -0,0 +1,207 @@
+package controller_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/controller"
+	"switchshore.example/switchshore/internal/tuning"
+	"switchshore.example/switchshore/wire"
+)
+
+// fleet plays several hundred machines without troubles against one leader, in
+// steps of a tenth of a second, within the write budget of the settings.
+type fleet struct {
+	*leader
+	workers []*fleetWorker
+	rng     *rand.Rand
+	tokens  float64
+
+	changes, bytes, starts int
+	submitted              map[string]time.Time
+	waits                  []time.Duration
+}
+
+type fleetWorker struct {
+	name   string
+	tasks  []wire.TaskReport
+	ends   []time.Time
+	seq    uint64
+	next   time.Time
+	sent   time.Time
+	change bool
+}
+
+func (f *fleet) report(w *fleetWorker) *wire.Report {
+	w.seq++
+	return &wire.Report{
+		Machine: w.name, Addr: w.name + ":9", Type: "std-8", Zone: "a", Session: 1, Seq: w.seq, Token: f.Term(),
+		Tasks: append([]wire.TaskReport{}, w.tasks...),
+	}
+}
+
+func (f *fleet) execute(w *fleetWorker, commands []wire.Command) {
+	for _, c := range commands {
+		w.change = true
+		switch c.Op {
+		case wire.OpStart:
+			w.tasks = append(w.tasks, wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning})
+			w.ends = append(w.ends, f.now.Add(time.Duration(5+f.rng.IntN(10))*time.Second))
+			f.starts++
+			job, _, _ := wire.SplitTask(c.Task)
+			f.waits = append(f.waits, f.now.Sub(f.submitted[job]))
+		case wire.OpForget:
+			for i, t := range w.tasks {
+				if t.Task == c.Task && t.Attempt == c.Attempt {
+					w.tasks = append(w.tasks[:i], w.tasks[i+1:]...)
+					w.ends = append(w.ends[:i], w.ends[i+1:]...)
+					break
+				}
+			}
+		}
+	}
+}
+
+// step is a tenth of a second.
+func (f *fleet) step() {
+	f.t.Helper()
+	f.now = f.now.Add(100 * time.Millisecond)
+	for _, w := range f.workers {
+		for i := range w.tasks {
+			if w.tasks[i].State == wire.TaskRunning && !f.now.Before(w.ends[i]) {
+				w.tasks[i].State, w.tasks[i].Why = wire.TaskExited, wire.WhyDone
+				w.change = true
+			}
+		}
+		if f.now.Before(w.next) && (!w.change || f.now.Sub(w.sent) < 500*time.Millisecond) {
+			continue
+		}
+		w.change, w.sent, w.next = false, f.now, f.now.Add(3*time.Second)
+		a, receipt := f.Report(f.now, f.report(w), true)
+		if receipt != controller.Taken {
+			f.t.Fatalf("%s: receipt %d", w.name, receipt)
+		}
+		f.execute(w, a.Commands)
+	}
+	before := f.Counts().Scores
+	f.Tick(f.now, true)
+	// A pass that reaches its bound ends with the line of jobs at hand.
+	if n := f.Counts().Scores - before; n > 2*tuning.PassScores {
+		f.t.Fatalf("one pass scored %d pairs", n)
+	}
+	f.write()
+	for _, call := range f.Direct(f.now) {
+		for _, w := range f.workers {
+			if w.name == call.Machine {
+				f.execute(w, call.Request.Commands)
+				f.DirectDone(f.now, call, controller.DirectAnswered, f.report(w))
+			}
+		}
+	}
+}
+
+// write commits what the budget allows.
+func (f *fleet) write() {
+	f.t.Helper()
+	s := params.State
+	perSecond := s.WriteRPS * tuning.StoreWriteShare
+	f.tokens = min(f.tokens+perSecond/10, perSecond/2)
+	for f.tokens >= 1 {
+		b := f.NextBatch(min(s.TxnOps, int(f.tokens)), max(0, int(f.tokens-perSecond/4)))
+		if b == nil {
+			return
+		}
+		f.tokens -= float64(len(b.Writes))
+		total := 0
+		for _, w := range b.Writes {
+			f.changes++
+			total += len(w.Key()) + len(w.Value) + 40
+			if float64(len(w.Value)) > s.ValueKB*1024 {
+				f.t.Fatalf("%s has %d bytes", w.Put, len(w.Value))
+			}
+			if w.Delete != "" {
+				delete(f.kept, w.Delete)
+			} else {
+				f.kept[w.Put] = w.Value
+			}
+		}
+		if f.bytes += total; total > 64<<10 {
+			f.t.Fatalf("a transaction of %d bytes", total)
+		}
+		f.Committed(b)
+	}
+}
+
+// TestGrownFleet: 600 machines, some 70 starts a second. The state service is
+// asked for little per start, no value or transaction is too large, a pass is
+// bounded, urgent work starts at once, and a successor knows of every task.
+func TestGrownFleet(t *testing.T) {
+	old := params
+	defer func() { params = old }()
+	params.Teams = []config.Team{{Name: "blue", CPUs: 4000, CPUsMax: 4800}}
+	params.State = config.State{RPS: 150, WriteRPS: 60, ValueKB: 8, TxnOps: 24}
+	f := &fleet{leader: newLeader(t, 5, start, map[string]json.RawMessage{}), rng: rand.New(rand.NewPCG(1, 1)), submitted: map[string]time.Time{}}
+	for i := range 600 {
+		f.workers = append(f.workers, &fleetWorker{name: fmt.Sprintf("i-%06d", i)})
+	}
+	accepted := 0
+	for tick := range 900 {
+		if tick%10 == 0 {
+			for k := range 2 {
+				j := spec(fmt.Sprintf("job-%06d", 2*tick+k))
+				j.Tasks, j.CPUs, j.EstimateS, j.Image, j.ImageGB = 35, 2, 10, fmt.Sprint("img", f.rng.IntN(5)), 0.5
+				f.submitted[j.ID] = f.now
+				f.Submit(f.now, f.now, j, func(v controller.Verdict) {
+					if v.Status == 201 {
+						accepted++
+					}
+				})
+			}
+		}
+		f.step()
+	}
+	if accepted < 175 || f.starts < 5500 {
+		t.Fatalf("accepted %d jobs, started %d tasks", accepted, f.starts)
+	}
+	late := 0
+	for _, wait := range f.waits {
+		if wait > 2*time.Second {
+			late++
+		}
+	}
+	if late > f.starts/100 {
+		t.Errorf("%d of %d tasks started later than 2 s", late, f.starts)
+	}
+	if perStart := float64(f.changes) / float64(f.starts); perStart > 0.6 {
+		t.Errorf("%.2f changes a start", perStart)
+	}
+	if perStart := f.bytes / f.starts; perStart > 300 {
+		t.Errorf("%d bytes written a start", perStart)
+	}
+	on, records := 0, 0
+	for _, w := range f.workers {
+		for _, task := range w.tasks {
+			if task.State == wire.TaskRunning {
+				on++
+			}
+		}
+	}
+	for key := range f.kept {
+		if strings.HasPrefix(key, "s/") {
+			records++
+		}
+	}
+	if records > 400 {
+		t.Errorf("%d start records for a successor to read", records)
+	}
+	next := newLeader(t, 6, f.now, f.kept)
+	if held := next.Counts().Held; held < on {
+		t.Errorf("a successor knows of %d tasks, %d run", held, on)
+	}
+	t.Logf("%d starts, %.2f changes and %d bytes each, %d records, %d scores", f.starts, float64(f.changes)/float64(f.starts), f.bytes/f.starts, records, f.Counts().Scores)
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -92,7 +92,7 @@
 			continue
 		}
 		first := *r
-		first.Aged = true
+		first.AgedS = now.Sub(j.startAt).Seconds()
 		first.Tasks = min(r.Tasks, max(1, int(float64(j.Tasks)*tuning.AgedShare)))
 		// Both see the same places taken.
 		r.Tasks -= first.Tasks
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -8,6 +8,7 @@
 package sched
 
 import (
+	"cmp"
 	"container/heap"
 	"math"
 	"slices"
@@ -77,9 +78,11 @@
 	Team       string
 	Level      int
 	Guaranteed bool
-	// Aged jobs have waited long without a start: they go before all others,
-	// whatever their level.
-	Aged bool
+	// AgedS is for how many seconds a job has waited without a start, if that
+	// is long, or zero. Aged jobs go before all others, whatever their level,
+	// and among themselves in the order of their waits: an order by level would
+	// starve the lowest again once many have aged.
+	AgedS float64
 	// Urgency orders jobs of one level, lower first, in steps within which
 	// the speedup decides: the seconds that may pass before the job is late.
 	Urgency   float64
@@ -250,7 +253,7 @@
 // is left is the fetch on an empty machine less the fetch and the wait here.
 func (p *pass) score(r *Ready, m *Machine) (choice, bool) {
 	p.work.Scores++
-	if m.queuedLevel >= 0 && m.queuedLevel < r.Level && !r.Aged || len(m.Loads) >= tuning.MachineTasks || m.Avoid[r.Job] || !r.Allowed(m) {
+	if m.queuedLevel >= 0 && m.queuedLevel < r.Level && r.AgedS == 0 || len(m.Loads) >= tuning.MachineTasks || m.Avoid[r.Job] || !r.Allowed(m) {
 		return choice{}, false
 	}
 	wait := m.waitFor(p.now, r.Need)
@@ -338,7 +341,7 @@
 		for to < len(jobs) && jobs[to].sameLine(jobs[from]) {
 			to++
 		}
-		if jobs[from].Level == p.full && !jobs[from].Aged {
+		if jobs[from].Level == p.full && jobs[from].AgedS == 0 {
 			from = to
 			continue
 		}
@@ -358,17 +361,14 @@
 // guarantee before borrowers, then by urgency.
 func compare(a, b *Ready) int {
 	switch {
-	case a.Aged != b.Aged:
-		return yes(b.Aged) - yes(a.Aged)
+	case a.AgedS != b.AgedS:
+		return cmp.Compare(b.AgedS, a.AgedS)
 	case a.Level != b.Level:
 		return a.Level - b.Level
 	case a.Guaranteed != b.Guaranteed:
 		return yes(b.Guaranteed) - yes(a.Guaranteed)
 	case a.step() != b.step():
-		if a.step() < b.step() {
-			return -1
-		}
-		return 1
+		return cmp.Compare(a.step(), b.step())
 	}
 	return strings.Compare(a.Job, b.Job)
 }
@@ -382,7 +382,7 @@
 
 // sameLine reports whether the speedup decides between two jobs.
 func (r *Ready) sameLine(o *Ready) bool {
-	return r.Aged == o.Aged && r.Level == o.Level && r.Guaranteed == o.Guaranteed && r.step() == o.step()
+	return r.AgedS == o.AgedS && r.Level == o.Level && r.Guaranteed == o.Guaranteed && r.step() == o.step()
 }
 
 // line places the tasks of jobs among which the speedup decides; later are
@@ -400,8 +400,13 @@
 			}
 			team := p.teams[r.Team]
 			if team == nil || !team.Max.Fits(team.Used.Add(r.Need, 1)) {
-				// The team is at its limit: the next ones are scored instead.
+				// The team is at its limit: the next ones are scored instead. For
+				// an aged job room within the limit is kept, or its team's smaller
+				// tasks would take every bit of it that comes free.
 				r.closed = true
+				if r.AgedS > 0 && team != nil {
+					team.Used = team.Used.Add(r.Need, 1)
+				}
 				continue
 			}
 			c := p.best(r)
@@ -422,7 +427,7 @@
 			if p.queued >= tuning.PassQueues {
 				return true
 			}
-			if !next.Aged && !p.anyRoom(jobs, later) {
+			if next.AgedS == 0 && !p.anyRoom(jobs, later) {
 				p.full = next.Level
 				return true
 			}
