--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -527,7 +527,11 @@
 		m := c.machines[row.Name]
 		if m == nil {
 			m = c.addMachine(asked, row.Name, row.Type, row.Zone, row.Addr, row.Spot)
-			m.rentedAt = asked.Add(-seconds(row.AgeS))
+		}
+		// What a predecessor rented is older than this term: a successor that
+		// took it for new kept idle machines through its minimum bill again.
+		if at := asked.Add(-seconds(row.AgeS)); at.Before(m.rentedAt) {
+			m.rentedAt = at
 		}
 		if m.addr == "" {
 			m.addr = row.Addr
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -76,6 +76,7 @@
 	busyS  float64         // CPU seconds of work given to it
 	readyS float64
 	open   bool
+	used   bool // demand was given to it
 }
 
 // take gives the bin as many of the tasks as it can start at once or begin
@@ -85,6 +86,7 @@
 	left := b.total.CPUs*usable(b.total, d.Need)*(horizonS-min(b.readyS, horizonS/2)) - b.busyS
 	n := max(slots(b.free, d.Need), int(left/each))
 	n = max(0, min(n, tasks))
+	b.used = b.used || n > 0
 	b.busyS += float64(n) * each
 	b.free = b.free.Add(d.Need, -float64(n))
 	return n
@@ -109,7 +111,6 @@
 	}
 	offers := offersByPrice(in.Types)
 	count := len(in.Machines)
-	rented := false
 	sort.SliceStable(in.Demand, func(i, k int) bool { return in.Demand[i].HorizonS < in.Demand[k].HorizonS })
 	for _, d := range in.Demand {
 		tasks := d.Tasks
@@ -141,12 +142,11 @@
 			bins = append(bins, b)
 			plan.Rent[o]++
 			count++
-			rented = true
 		}
 	}
-	if !rented {
-		plan.Return = surplus(in, openCPUs)
-	}
+	// At several hundred machines something is rented nearly always, somewhere:
+	// machines that the demand has no use for go back all the same.
+	plan.Return = surplus(in, bins, openCPUs)
 	return plan
 }
 
@@ -219,12 +219,12 @@
 	return best.Offer, best.price, true
 }
 
-// surplus picks idle machines to return, dearest first, as long as the rest
-// covers the smoothed demand.
-func surplus(in Input, openCPUs float64) []string {
+// surplus picks idle machines to return that no demand was given to, dearest
+// first, as long as the rest covers the smoothed demand.
+func surplus(in Input, bins []bin, openCPUs float64) []string {
 	idle := make([]Machine, 0)
-	for _, m := range in.Machines {
-		if m.Idle && (m.IdleFor >= in.KeepIdle || !m.Open) {
+	for i, m := range in.Machines {
+		if m.Idle && !bins[i].used && (m.IdleFor >= in.KeepIdle || !m.Open) {
 			idle = append(idle, m)
 		}
 	}
