Half-empty machines are emptied when their tasks can take their progress along

Tasks that save are stopped with time to save and placed again by the rule; the machine takes no more work and goes back.

--- /dev/null
+++ b/internal/controller/consolidate.go
@@ -0,0 +1,122 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"switchshore.example/switchshore/internal/sched"
+	"switchshore.example/switchshore/internal/tuning"
+)
+
+// consolidate empties machines whose tasks fit elsewhere and can take their
+// progress along, so that the machines can be returned: in a lull each would
+// otherwise stay for its longest task, mostly empty. Their tasks save, stop and
+// are placed again by the rule.
+func (c *Controller) consolidate(now time.Time) {
+	if now.Sub(c.lastMove) < tuning.MoveEvery {
+		return
+	}
+	c.lastMove = now
+	var movable, others []*machine
+	for _, m := range c.order {
+		switch {
+		case !c.open(now, m):
+		case c.movable(now, m):
+			movable = append(movable, m)
+		default:
+			others = append(others, m)
+		}
+	}
+	if len(movable) < 2 {
+		return
+	}
+	// The dearest and emptiest go first, into the fullest of the others.
+	slices.SortStableFunc(movable, func(a, b *machine) int {
+		return cmp.Or(-cmp.Compare(c.price(a), c.price(b)), -cmp.Compare(a.free.CPUs/a.total.CPUs, b.free.CPUs/b.total.CPUs))
+	})
+	room := map[*machine]sched.Resources{}
+	for _, m := range others {
+		room[m] = m.free
+	}
+	for _, m := range movable {
+		room[m] = m.free
+	}
+	// Work that waits goes before tasks that run already.
+	targets := append(slices.Clone(movable), others...)
+	for _, j := range c.activeJobs() {
+		for range j.ready {
+			m := roomFor(j, targets, room)
+			if m == nil {
+				break
+			}
+			room[m] = room[m].Add(j.need, -1)
+		}
+	}
+	moves := 0
+	for i, m := range movable {
+		if moves >= max(1, len(c.order)/tuning.MoveParts) {
+			return
+		}
+		if room[m] != m.free {
+			continue // it has got or will get work
+		}
+		targets := append(slices.Clone(others), movable[i+1:]...)
+		slices.SortStableFunc(targets, func(a, b *machine) int { return cmp.Compare(room[a].CPUs, room[b].CPUs) })
+		to := make([]*machine, 0, len(m.attempts))
+		for _, a := range m.attempts {
+			t := roomFor(a.job, targets, room)
+			if t == nil {
+				break
+			}
+			room[t] = room[t].Add(a.job.need, -1)
+			to = append(to, t)
+		}
+		if len(to) < len(m.attempts) {
+			for k, t := range to {
+				room[t] = room[t].Add(m.attempts[k].job.need, 1)
+			}
+			continue
+		}
+		moves++
+		m.draining = true
+		for _, a := range m.attempts {
+			a.stop, a.grace = true, a.job.SaveS
+		}
+		c.callSoon(m)
+	}
+	if moves > 0 {
+		c.log.Debug().Int("machines", moves).Msg("consolidating")
+	}
+}
+
+// movable reports whether all tasks of the machine can take their progress
+// along, and whether moving them is worth it: the machine is at most half used
+// and would stay for long, and none of the tasks has just begun.
+func (c *Controller) movable(now time.Time, m *machine) bool {
+	if len(m.attempts) == 0 || m.free.CPUs < m.total.CPUs/2 || now.Sub(m.rentedAt) < tuning.MinimumBill {
+		return false
+	}
+	lasts := 0.0
+	for _, a := range m.attempts {
+		if a.state != running || a.stop || a.job.CheckpointS <= 0 || now.Sub(a.runningAt) < tuning.MoveAfter {
+			return false
+		}
+		// A task over its estimate goes on for about as long again as it is old,
+		// as far as anyone can tell; a quarter is taken.
+		lasts = max(lasts, c.remaining(now, a), now.Sub(a.runningAt).Seconds()/4)
+	}
+	return lasts >= tuning.MoveWorth.Seconds()
+}
+
+// roomFor finds the first machine that may take a task of the job and has
+// room for it.
+func roomFor(j *job, targets []*machine, room map[*machine]sched.Resources) *machine {
+	probe := sched.Ready{Types: j.Types, Zone: j.Zone, OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, Need: j.need, Total: j.Tasks, InZone: j.inZone}
+	for _, m := range targets {
+		if room[m].Fits(j.need) && !m.avoid[j.ID] && probe.Allowed(&sched.Machine{Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total}) {
+			return m
+		}
+	}
+	return nil
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -60,6 +60,7 @@
 	lastPass   time.Time
 	lastLook   time.Time // for leases that ran out
 	lastStop   time.Time // for room made by stopping tasks
+	lastMove   time.Time // for machines to be emptied
 	changed    bool
 	scores     int        // pairs of job and machine looked at, for the logs
 	round      uint64     // number of task lists taken in
--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -40,11 +40,12 @@
 	for ; next < len(c.calls) && c.calling < c.maxCalls(); next++ {
 		m := c.calls[next]
 		m.queued = false
-		if m.calling || m.addr == "" || now.Before(m.callAfter) || !c.open(now, m) || c.machines[m.id] != m {
+		if m.calling || m.addr == "" || now.Before(m.callAfter) || !m.confirmed || m.deaf() || c.silent(now, m) || c.machines[m.id] != m {
 			// The answer to the next report carries it.
 			continue
 		}
 		call := &DirectCall{Machine: m.id, Addr: m.addr, Request: wire.CommandRequest{Token: c.term, Session: m.session}, seq: m.seq}
+		open := c.open(now, m)
 		for _, a := range m.attempts {
 			if a.stop && a.state >= fetching && !a.stopSent {
 				// A late stop does no harm: attempts are never reused.
@@ -52,7 +53,7 @@
 				call.Request.Commands = append(call.Request.Commands, a.stopCommand())
 				continue
 			}
-			if a.state != ordered || !a.wanted() || a.direct || a.sentSeq != 0 || len(call.attempts) >= tuning.AnswerCommands {
+			if !open || a.state != ordered || !a.wanted() || a.direct || a.sentSeq != 0 || len(call.attempts) >= tuning.AnswerCommands {
 				continue
 			}
 			a.direct = true
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -26,6 +26,7 @@
 		c.changed = false
 		c.lastPass = now
 		c.place(now)
+		c.consolidate(now)
 	}
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -183,6 +183,22 @@
 	PreemptEvery = 250 * time.Millisecond
 )
 
+// Emptying machines.
+const (
+	// MoveEvery paces the looks for machines to be emptied, about the time in
+	// which tasks stopped at one look have saved.
+	MoveEvery = 3 * time.Second
+	// MoveParts bounds the machines emptied at one look, as one part in so many
+	// of all: their tasks' images and saves load the others.
+	MoveParts = 10
+	// MoveAfter is how long a task must have run before it is moved: a start
+	// that is stopped earlier counts as none to its user.
+	MoveAfter = 32 * time.Second
+	// MoveWorth is how long a machine must be expected to stay otherwise; a move
+	// costs a save, a start and perhaps a fetch, on a part of the machine.
+	MoveWorth = 20 * time.Second
+)
+
 // Direct commands.
 const (
 	// DirectTimeout bounds a direct call; a worker answers at once.
