--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -755,3 +755,68 @@
 		t.Fatalf("only %d tasks begun, the first after %v: it does not go on", begun, first)
 	}
 }
+
+// TestHalfEmptyMachineIsEmptied: in a lull two machines are kept by one long
+// task each. One task saves and goes on beside the other, and the machine goes
+// back; a task that can't save stays where it is.
+func TestHalfEmptyMachineIsEmptied(t *testing.T) {
+	for _, checkpoint := range []float64{20, 0} {
+		l := newLeader(t, 5, start, map[string]json.RawMessage{})
+		submit := func(id string, estimate float64) {
+			j := spec(id)
+			j.CPUs, j.EstimateS, j.CheckpointS, j.SaveS = 4, estimate, checkpoint, 4
+			l.Submit(l.now, l.now, j, func(controller.Verdict) {})
+		}
+		submit("job-0", 40) // shares m1 with job-1 at first
+		submit("job-1", 300)
+		l.Listed(l.now, []wire.ListedMachine{
+			{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}, {Name: "m2", Type: "std-8", Zone: "a", State: wire.MachineRunning},
+		})
+		lists := map[string][]wire.TaskReport{}
+		moved, released := 0, ""
+		for second := range 120 {
+			if second == 5 {
+				submit("job-2", 300)
+			}
+			l.pass(time.Second)
+			l.commit()
+			for _, m := range []string{"m1", "m2"} {
+				if released == m || second < 5 && m == "m2" {
+					continue
+				}
+				for i := range lists[m] {
+					if second == 45 && lists[m][i].Task == "job-0/0" {
+						lists[m][i].State, lists[m][i].Why = wire.TaskExited, wire.WhyDone
+					}
+				}
+				for _, c := range l.report(m, 1, lists[m]...) {
+					at := slices.IndexFunc(lists[m], func(r wire.TaskReport) bool { return r.Task == c.Task })
+					switch c.Op {
+					case wire.OpStart:
+						lists[m] = append(lists[m], wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning})
+					case wire.OpStop:
+						if c.GraceS == nil || *c.GraceS < 4 {
+							t.Fatalf("stopped without time to save: %+v", c)
+						}
+						moved++
+						lists[m][at].State, lists[m][at].Why, lists[m][at].Saved = wire.TaskExited, wire.WhyStopped, true
+					case wire.OpForget:
+						lists[m] = slices.Delete(lists[m], at, at+1)
+					}
+				}
+			}
+			for _, c := range l.Plan(l.now) {
+				if c.Op == controller.CloudRelease {
+					released = c.Release[0]
+					l.Released(l.now, c.Release)
+				}
+			}
+		}
+		if checkpoint > 0 && (moved != 1 || released == "" || len(lists["m1"])+len(lists["m2"]) != 2) {
+			t.Fatalf("moved %d, released %q, left %v", moved, released, lists)
+		}
+		if checkpoint == 0 && moved != 0 {
+			t.Fatal("a task that can't save was moved")
+		}
+	}
+}
