--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -628,7 +628,7 @@
 func (c *Controller) expire(now time.Time) {
 	for _, m := range c.order {
 		if (len(m.attempts) > 0 || !m.confirmed) && c.leaseOver(now, m) && (m.up || m.recorded) {
-			if len(m.attempts) > 0 {
+			if len(m.attempts) > 0 && m.fenceBy.IsZero() {
 				c.log.Info().Str("machine", m.id).Int("tasks", len(m.attempts)).Msg("lease over")
 			}
 			m.lostSession = m.session
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -218,6 +218,11 @@
 		default:
 			_ = store.Pause(ctx, tuning.StoreRetry)
 		}
+		if l.lost.Load() {
+			// A successor is known: keeping the picture up would cost the work
+			// of a leader, for nothing.
+			cancel()
+		}
 	}
 	l.End()
 	cancel()
