A machine absent from a later list is gone; kept progress counts; milder preemption

A machine that was listed stays listed until it is gone: its absence from a list that describes a later time frees its tasks. Saved progress counts as run time; tasks whose job has others waiting are stopped first.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -190,6 +190,10 @@
 	inZone  map[string]int
 	need    sched.Resources
 
+	// progress is what tasks that are to run again have saved, in seconds, as
+	// far as this term has seen it.
+	progress map[int32]float64
+
 	failures int
 	notUntil time.Time
 	// startAt is when a task of the job was last placed, or when the job came.
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -439,7 +439,7 @@
 	l.DirectDone(l.now, call, controller.DirectUnknown, nil)
 	l.Cancel(l.now, "job-1", func(controller.Verdict) {})
 	l.commit()
-	l.Listed(l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+	l.Listed(l.now, l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
 	for range 30 {
 		l.report("m1", 1)
 		l.pass(time.Second)
@@ -515,7 +515,7 @@
 // lease has run out, it gets no more work, and it is released.
 func TestDeafMachineIsReplaced(t *testing.T) {
 	l, tr := running(t)
-	l.Listed(l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+	l.Listed(l.now, l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
 	for range 5 {
 		l.pass(3 * time.Second)
 		l.report("m1", 1, tr)
@@ -570,7 +570,7 @@
 func TestHeardButNeverInThisTerm(t *testing.T) {
 	l, tr := running(t)
 	next := newLeader(t, 6, l.now, l.kept)
-	next.Listed(next.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+	next.Listed(next.now, next.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
 	for i := range 40 {
 		next.pass(3 * time.Second)
 		next.Report(next.now, &wire.Report{Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: 100 + uint64(i), Token: 5, Tasks: []wire.TaskReport{tr}}, true)
@@ -627,7 +627,7 @@
 		Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: 1, Token: 5,
 		Tasks: []wire.TaskReport{{Task: "job-1/0", Attempt: call.Request.Commands[0].Attempt, State: wire.TaskRunning}},
 	})
-	l.Listed(l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+	l.Listed(l.now, l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
 	released := false
 	var release []string
 	for i := range 20 {
@@ -661,7 +661,7 @@
 func TestUnansweredCallOutlivesThePresumption(t *testing.T) {
 	l, call, _ := called(t)
 	l.DirectDone(l.now, call, controller.DirectUnknown, nil)
-	l.Listed(l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+	l.Listed(l.now, l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
 	for range 40 {
 		l.pass(time.Second)
 		l.report("m2", 1)
@@ -769,7 +769,7 @@
 		}
 		submit("job-0", 40) // shares m1 with job-1 at first
 		submit("job-1", 300)
-		l.Listed(l.now, []wire.ListedMachine{
+		l.Listed(l.now, l.now, []wire.ListedMachine{
 			{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}, {Name: "m2", Type: "std-8", Zone: "a", State: wire.MachineRunning},
 		})
 		lists := map[string][]wire.TaskReport{}
@@ -820,3 +820,26 @@
 		}
 	}
 }
+
+// TestAbsentFromTheListIsGone: a machine that was listed and is missing from a
+// list that describes a later time has gone with its tasks; a list that may be
+// older than the one before it proves nothing.
+func TestAbsentFromTheListIsGone(t *testing.T) {
+	l, _ := running(t)
+	l.Listed(l.now, l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+	try := func(d time.Duration) string {
+		l.now = l.now.Add(d)
+		l.report("m2", 1)
+		l.Listed(l.now, l.now, []wire.ListedMachine{{Name: "m2", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+		l.pass(time.Second)
+		l.commit()
+		return ops(l.report("m2", 1))
+	}
+	// The list may be older than the first by twice the lag of 4 s.
+	if got := try(7 * time.Second); got != "" {
+		t.Fatalf("an old list was taken for proof: %s", got)
+	}
+	if got := try(time.Second); got != "run job-1/0" {
+		t.Fatalf("want a start elsewhere, got %q", got)
+	}
+}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -38,9 +39,9 @@
 	failing  map[string]bool
 	free     sched.Resources
 	idleFrom time.Time
-	recorded bool // named by a start record that was loaded
-	missing  int  // lists in a row without the machine
-	listed   bool
+	recorded bool      // named by a start record that was loaded
+	missing  int       // lists in a row without the machine
+	listedAt time.Time // first seen in the cloud's list in this term
 	failed   bool
 	// keep names exited attempts whose start may still come late: forgetting
 	// them would let it run.
@@ -122,6 +123,7 @@
 	direct    bool
 	orderedAt time.Time
 	runningAt time.Time
+	saved     bool // it saved its progress when it was stopped
 }
 
 // wanted reports whether the attempt is still to run.
@@ -226,6 +228,7 @@
 	if i < 0 {
 		return
 	}
+	j.keep(now, a)
 	m.attempts = slices.Delete(m.attempts, i, i+1)
 	m.stale = true
 	m.free = m.free.Add(j.need, 1)
@@ -245,6 +248,24 @@
 	c.unhold(j, a.index)
 }
 
+// keep notes the progress that an attempt that is gone has saved: by itself at
+// every interval, and when it was stopped with time to save.
+func (j *job) keep(now time.Time, a *attempt) {
+	if a.runningAt.IsZero() || j.CheckpointS <= 0 || j.done.Has(int(a.index)) {
+		return
+	}
+	ran := now.Sub(a.runningAt).Seconds()
+	if !a.saved {
+		ran = math.Floor(ran/j.CheckpointS) * j.CheckpointS
+	}
+	if ran > 0 {
+		if j.progress == nil {
+			j.progress = map[int32]float64{}
+		}
+		j.progress[a.index] += ran
+	}
+}
+
 // dropAll drops every task of a machine whose session is over.
 func (c *Controller) dropAll(now time.Time, m *machine) {
 	for len(m.attempts) > 0 {
@@ -507,10 +528,11 @@
 // exit handles the end of an attempt by its reason.
 func (c *Controller) exit(now time.Time, a *attempt, t *wire.TaskReport) {
 	m, j := a.machine, a.job
+	a.saved = t.Saved
 	switch t.Why {
 	case wire.WhyDone:
 		if a.state == running && !a.runningAt.IsZero() {
-			c.observe(j, now.Sub(a.runningAt).Seconds())
+			c.observe(j, now.Sub(a.runningAt).Seconds()+j.progress[a.index])
 		}
 		j.failures = 0
 		clear(m.failing)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -214,10 +214,7 @@
 				s.Images[a.job.Image] = there
 			}
 		}
-		end := max(there, at) + c.estimate(a.job)
-		if !a.runningAt.IsZero() {
-			end = c.clock(a.runningAt) + c.estimate(a.job)
-		}
+		end := max(there, at) + c.remaining(now, a)
 		s.Loads = append(s.Loads, sched.Load{Need: a.job.need, EndS: end})
 	}
 	slices.SortStableFunc(s.Loads, func(a, b sched.Load) int { return cmp.Compare(a.EndS, b.EndS) })
@@ -234,9 +231,9 @@
 
 // remaining is the run time left of an attempt by its estimate, at least zero.
 func (c *Controller) remaining(now time.Time, a *attempt) float64 {
-	ran := 0.0
+	ran := a.job.progress[a.index]
 	if !a.runningAt.IsZero() {
-		ran = now.Sub(a.runningAt).Seconds()
+		ran += now.Sub(a.runningAt).Seconds()
 	}
 	return max(0, c.estimate(a.job)-ran)
 }
@@ -443,11 +440,25 @@
 	return min(max(slack*tuning.PlanSlack, tuning.PlanHorizonMin.Seconds()), tuning.PlanHorizonMax.Seconds())
 }
 
+// rest is the run time by its estimate of a job's ready tasks, of the one with
+// the least progress, or of a whole task if none is ready.
+func (c *Controller) rest(j *job) float64 {
+	whole := c.estimate(j)
+	if len(j.progress) == 0 || len(j.ready) == 0 || len(j.ready) > len(j.progress) {
+		return whole
+	}
+	least := whole
+	for _, index := range j.ready {
+		least = min(least, j.progress[index])
+	}
+	return max(tuning.MinimumEstimate, whole-least)
+}
+
 // slack is the time that may pass before a job can no longer be in time, by
 // its deadline and its class's objectives: of those it can still meet the
 // nearest. It is false if there is none.
 func (c *Controller) slack(now time.Time, j *job) (float64, bool) {
-	spent := now.Sub(j.since).Seconds() + c.estimate(j)
+	spent := now.Sub(j.since).Seconds() + c.rest(j)
 	best, found := 0.0, false
 	due := func(at float64) {
 		if s := at - spent; s >= 0 && (!found || s < best) {
@@ -503,6 +514,11 @@
 // Released takes in that machines, and all on them, are gone.
 func (c *Controller) Released(now time.Time, names []string) {
 	c.releasing = max(0, c.releasing-1)
+	c.remove(now, names)
+}
+
+// remove forgets machines that are gone, with all on them.
+func (c *Controller) remove(now time.Time, names []string) {
 	for _, id := range names {
 		c.released[id] = true
 		m := c.machines[id]
@@ -512,12 +528,12 @@
 		c.dropAll(now, m)
 		c.removeMachine(m)
 	}
-	c.log.Debug().Strs("machines", names).Msg("released")
+	c.log.Debug().Strs("machines", names).Msg("gone")
 	c.changed = true
 }
 
 // Listed takes in a complete machine list, asked for at the given time.
-func (c *Controller) Listed(asked time.Time, list []wire.ListedMachine) {
+func (c *Controller) Listed(asked, now time.Time, list []wire.ListedMachine) {
 	c.lists++
 	there := make(map[string]bool, len(list))
 	for _, row := range list {
@@ -537,15 +553,39 @@
 		if m.addr == "" {
 			m.addr = row.Addr
 		}
-		m.listed = true
+		if m.listedAt.IsZero() {
+			m.listedAt = now
+		}
 		m.missing = 0
 		if row.State == wire.MachineFailed {
 			m.failed = true
 		}
 	}
+	var gone []string
+	lag := seconds(c.params.Cloud.ListLagS * (1 + tuning.ClockDrift) * 2)
+	for _, m := range c.order {
+		if there[m.id] || m.listedAt.IsZero() && !m.recorded {
+			continue
+		}
+		m.missing++
+		// A machine stays listed until it is gone, and a list is at most twice
+		// its lag old: this one describes a time at which it had been listed.
+		if !m.listedAt.IsZero() && asked.Sub(m.listedAt) > lag {
+			gone = append(gone, m.id)
+		}
+	}
+	if len(gone) > 0 {
+		c.remove(now, gone)
+	}
+}
+
+// Silent reports whether machines that were heard of have fallen silent: the
+// next list may tell that they are gone.
+func (c *Controller) Silent(now time.Time) bool {
 	for _, m := range c.order {
-		if !there[m.id] && (m.listed || m.recorded) {
-			m.missing++
+		if m.confirmed && len(m.attempts) > 0 && now.Sub(m.heardAt) > seconds(c.params.Workers.ReportS*tuning.LateReports) {
+			return true
 		}
 	}
+	return false
 }
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -12,7 +12,7 @@
 // victim is a running task that could make room.
 type victim struct {
 	*attempt
-	lostS float64
+	lostS float64 // progress lost, and what its job loses by the wait
 }
 
 // lost is the progress in seconds that stopping an attempt which saves
@@ -68,6 +68,10 @@
 				leaving[a.job.Team] += a.job.CPUs
 			case a.state == running && a.job.CheckpointS > 0:
 				if l := lost(now, a); l <= tuning.PreemptLoss.Seconds() {
+					if len(a.job.ready) == 0 {
+						// Others of its job don't wait: the job would end later.
+						l += tuning.PreemptDelay.Seconds()
+					}
 					candidates[m] = append(candidates[m], victim{a, l})
 				}
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -425,17 +425,24 @@
 }
 
 func (n *Node) listLoop(ctx context.Context, p *controller.Controller) error {
-	every := max(tuning.ListMinimum, time.Duration(n.config.Params.Cloud.ListLagS*tuning.ListEvery*float64(time.Second)))
+	every := func(part float64) time.Duration {
+		return max(tuning.ListMinimum, time.Duration(n.config.Params.Cloud.ListLagS*part*float64(time.Second)))
+	}
 	for {
 		asked := time.Now()
 		list, err := n.cloud.List(ctx)
-		pause := every
+		pause := every(tuning.ListEvery)
 		if err != nil {
 			pause = tuning.CloudRetry
 		} else {
+			now := time.Now()
 			n.mu.Lock()
-			p.Listed(asked, list)
+			p.Listed(asked, now, list)
+			if p.Silent(now) {
+				pause = every(tuning.ListUrgent)
+			}
 			n.mu.Unlock()
+			n.wake(n.tick)
 		}
 		if err := store.Pause(ctx, pause); err != nil {
 			return err
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -480,7 +480,7 @@
 	rows := w.Cloud.List(w.now, lag)
 	w.after(w.between(20, 200), func() {
 		if n.picture == p {
-			p.Listed(asked, rows)
+			p.Listed(asked, w.clock(n), rows)
 		}
 	})
 	w.after(w.between(2000, 4000), func() { w.list(n, p) })
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -81,6 +81,9 @@
 	CloudShare = 0.8
 	// ListEvery paces machine lists, as a multiple of the list's lag.
 	ListEvery = 0.6
+	// ListUrgent is the same while machines are silent: a list without them
+	// frees their tasks long before their leases would.
+	ListUrgent = 0.25
 	// ListMinimum is the shortest pause between lists.
 	ListMinimum = 2 * time.Second
 	// TypesEvery paces price updates.
@@ -171,6 +174,9 @@
 	// PreemptLoss is the most progress, since its last checkpoint, that a
 	// task may lose by being stopped for a higher priority.
 	PreemptLoss = 8 * time.Second
+	// PreemptDelay is what being stopped counts for a task whose job has no
+	// other task waiting, on top of lost progress: about what it waits then.
+	PreemptDelay = 15 * time.Second
 	// PreemptFetchWeight is what a second of image fetch counts against a
 	// second of lost progress when room is made.
 	PreemptFetchWeight = 4.0
@@ -233,6 +239,9 @@
 	// newer between them, that a machine whose lease is over may send before
 	// it is replaced: a few late copies come after every cut.
 	Strangers = 3
+	// LateReports is how many report intervals without a report make the next
+	// machine list urgent.
+	LateReports = 1.5
 	// AbandonAfter is how long after its lease ran out a silent machine is
 	// kept before it is returned.
 	AbandonAfter = 20 * time.Second
