--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -44,6 +44,8 @@
 	released map[string]bool // names never to be taken in again
 	types    map[string]wire.MachineType
 	offers   []wire.MachineType
+	// catalogue is the stored form of the types.
+	catalogue json.RawMessage
 
 	urgent  writeQueue  // what users wait for
 	bulk    writeQueue  // what nobody waits for
@@ -208,6 +210,8 @@
 	At  int64    `json:"at"`
 }
 
+const keyTypes = "c/types"
+
 func keyJob(id string) string   { return "j/" + id }
 func keyFinal(id string) string { return "f/" + id }
 
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -843,3 +843,21 @@
 		t.Fatalf("want a start elsewhere, got %q", got)
 	}
 }
+
+// TestSuccessorKnowsTheCatalogue: it decides submissions without waiting for
+// the cloud to answer.
+func TestSuccessorKnowsTheCatalogue(t *testing.T) {
+	l, _ := running(t)
+	l.commit()
+	next := controller.New(zerolog.Nop(), params, config.Operator{}, 6, l.now, 0)
+	for key, value := range l.kept {
+		if strings.HasPrefix(key, controller.Prefixes[0]) {
+			if err := next.Load(l.now, l.now, wire.Item{Key: key, Value: value}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if !next.Ready() {
+		t.Fatal("no machine types known")
+	}
+}
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -12,8 +12,9 @@
 
 // Prefixes of the stored records, in the order in which they must be loaded:
 // jobs, their completions, the final states, then the starts, oldest first.
-// Below "m/" earlier versions kept one record a machine.
-var Prefixes = []string{"j/", "d/", "f/", "m/", "s/"}
+// Below "m/" earlier versions kept one record a machine. The catalogue comes
+// first: a successor that waited for the cloud's would refuse submissions.
+var Prefixes = []string{keyTypes, "j/", "d/", "f/", "m/", "s/"}
 
 // Load takes in one stored record; wall and now relate the time of day in
 // the records to the steady clock.
@@ -31,6 +32,12 @@
 
 func (c *Controller) load(now, wall time.Time, kind, id string, value json.RawMessage) error {
 	switch kind {
+	case "c":
+		var types []wire.MachineType
+		if err := json.Unmarshal(value, &types); err != nil {
+			return err
+		}
+		c.SetTypes(types)
 	case "j":
 		var rec jobRecord
 		if err := json.Unmarshal(value, &rec); err != nil {
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"bytes"
+	"encoding/json"
 	"math"
 	"slices"
 	"sort"
@@ -186,6 +188,10 @@
 	if len(types) == 0 {
 		return
 	}
+	if value, err := json.Marshal(types); err == nil && float64(len(value)) <= c.params.State.ValueKB*1024 && !bytes.Equal(value, c.catalogue) {
+		c.catalogue = value
+		c.bulk.put(keyTypes, value, nil)
+	}
 	c.offers = types
 	for _, t := range types {
 		c.types[t.Name] = t
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -98,8 +98,13 @@
 	Lead func(context.Context, *Leadership) error
 
 	nonce uint64
+	held  atomic.Bool
 }
 
+// HeldElsewhere reports whether another node held the leader key at the last
+// look, which a watch keeps recent.
+func (e *Election) HeldElsewhere() bool { return e.held.Load() }
+
 // Run campaigns, leads and campaigns again until the context ends.
 func (e *Election) Run(ctx context.Context) error {
 	e.nonce = rand.Uint64() >> 12
@@ -122,6 +127,7 @@
 func (e *Election) campaign(ctx context.Context) (*Leadership, error) {
 	var leaderVersion uint64
 	leader, err := e.Store.Get(ctx, store.KeyLeader)
+	e.held.Store(false)
 	switch {
 	case err == nil:
 		var rec LeaderRecord
@@ -131,6 +137,7 @@
 		// The key of this node's previous process can be taken over at once:
 		// a node runs one process, so that one is dead.
 		if rec.Node != e.Node || rec.Nonce == e.nonce {
+			e.held.Store(rec.Node != e.Node)
 			err := e.Store.Wait(ctx, store.KeyLeader, leader.Version, tuning.WatchBlock)
 			return nil, err
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	cloud    *cloud.Client
 	hub      *peer.Hub
 	workers  *httpc.Pool
+	election *election.Election
 	grace    time.Duration
 
 	// mu guards the picture; nothing is sent or awaited under it.
@@ -64,6 +65,7 @@
 		tick:     make(chan struct{}, 1),
 		write:    make(chan struct{}, 1),
 	}
+	n.election = &election.Election{Store: n.store, Node: c.Name, Log: log, Lead: n.lead}
 	n.hub.Self = n.beat
 	n.hub.Superseded = n.superseded
 	n.hub.Serve = n.Do
@@ -85,8 +87,7 @@
 	server := api.New(n.log, n, n.config.Params.Limits)
 	g.Go(func() error { return server.Run(ctx, users) })
 	g.Go(func() error { return n.hub.Run(ctx, peers) })
-	e := &election.Election{Store: n.store, Node: n.config.Name, Log: n.log, Lead: n.lead}
-	g.Go(func() error { return e.Run(ctx) })
+	g.Go(func() error { return n.election.Run(ctx) })
 	return g.Wait()
 }
 
@@ -116,7 +117,8 @@
 }
 
 // Healthy reports whether requests can be taken: a leader is within reach,
-// or was a moment ago.
+// or was a moment ago. A node that knows of a leader which it can't reach gives
+// up sooner than during a succession, as users are better off elsewhere.
 func (n *Node) Healthy() bool {
 	now := time.Now()
 	b := n.beat()
@@ -126,7 +128,11 @@
 	if ok {
 		n.reached, n.reachedAt = true, now
 	}
-	return n.reached && now.Sub(n.reachedAt) < tuning.HealthPatience
+	patience := tuning.HealthPatience
+	if n.election.HeldElsewhere() {
+		patience = tuning.ReachPatience
+	}
+	return n.reached && now.Sub(n.reachedAt) < patience
 }
 
 // Do carries a call out if this node leads, or forwards it to the leader.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -78,7 +78,7 @@
 	// CloudTimeout bounds a call; the cloud answers in a fraction of a second.
 	CloudTimeout = 5 * time.Second
 	// CloudShare is the part of the call budget that the leader uses.
-	CloudShare = 0.8
+	CloudShare = 0.9
 	// ListEvery paces machine lists, as a multiple of the list's lag.
 	ListEvery = 0.6
 	// ListUrgent is the same while machines are silent: a list without them
@@ -99,7 +99,7 @@
 	MaxRelease = 100
 	// RentalsUnderWay bounds the rentals without an answer, in seconds of the
 	// leader's call budget: more would queue up in front of lists and releases.
-	RentalsUnderWay = 1.5
+	RentalsUnderWay = 3.0
 	// MinimumBill is what a deleted machine costs at least: returning it
 	// earlier saves nothing.
 	MinimumBill = 60 * time.Second
@@ -332,4 +332,8 @@
 	// calls itself healthy, as a succession takes a few seconds and being
 	// marked unhealthy costs more.
 	HealthPatience = 8 * time.Second
+	// ReachPatience is the same while the leader key is held by a node out of
+	// reach: longer than the key outlives a leader that has crashed, and than
+	// the links to its successor take to tell of it.
+	ReachPatience = 4500 * time.Millisecond
 )
