--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,80 @@
+package api
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/peer"
+	"switchshore.example/switchshore/wire"
+)
+
+// service answers every call as a leader without news would.
+type service struct{}
+
+func (service) Healthy() bool { return true }
+
+func (service) Do(_ context.Context, c peer.Call) peer.Answer {
+	if c.Op == peer.OpReport {
+		return peer.Answer{Status: http.StatusOK, Report: &wire.ReportAnswer{Token: 1, Commands: []wire.Command{}}}
+	}
+	return peer.Answer{Status: http.StatusOK, Job: &wire.JobStatus{ID: c.Job, State: wire.JobQueued}}
+}
+
+// TestWorkersLeaveRoomForUsers: when workers have taken the sockets that they
+// may, the next one is sent on, while users and health checks are answered.
+func TestWorkersLeaveRoomForUsers(t *testing.T) {
+	srv := New(zerolog.Nop(), service{}, config.Limits{MaxConnections: 50})
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = srv.Run(ctx, ln) }()
+	ask := func(c *fasthttp.HostClient, method, path, body string) int {
+		req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.Header.SetMethod(method)
+		req.SetRequestURI("http://" + ln.Addr().String() + path)
+		req.SetBodyString(body)
+		if err := c.DoTimeout(req, res, 5*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		return res.StatusCode()
+	}
+	client := func() *fasthttp.HostClient { return &fasthttp.HostClient{Addr: ln.Addr().String(), MaxConns: 1} }
+	report := `{"deck":"i-1","endpoint":"10.0.0.1:9000","build":"b","berth":"a","watch":1,"knot":1,"helm":0,"oars":[]}`
+	var workers []*fasthttp.HostClient
+	for range srv.workers.most {
+		c := client()
+		workers = append(workers, c)
+		if got := ask(c, "POST", wire.PathReport, report); got != 200 {
+			t.Fatalf("worker %d: %d", len(workers), got)
+		}
+	}
+	if got := ask(client(), "POST", wire.PathReport, report); got != 421 {
+		t.Errorf("one worker too many: %d", got)
+	}
+	if got := ask(workers[0], "POST", wire.PathReport, report); got != 200 {
+		t.Errorf("a worker that is here already: %d", got)
+	}
+	for _, path := range []string{wire.PathHealth, wire.PathJobs + "/job-000001"} {
+		if got := ask(client(), "GET", path, ""); got != 200 {
+			t.Errorf("%s: %d", path, got)
+		}
+	}
+	// A connection that ends makes room.
+	workers[0].CloseIdleConnections()
+	for range 500 {
+		if ask(client(), "POST", wire.PathReport, report) == 200 {
+			return
+		}
+	}
+	t.Error("no room after a worker has left")
+}
