--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -90,6 +90,27 @@
 	return a.Commands
 }
 
+// planned returns the machines of a release that the planner asks for now, if
+// the given one is among them.
+func (l *leader) planned(machine string) []string {
+	for _, c := range l.Plan(l.now) {
+		if c.Op == controller.CloudRelease && slices.Contains(c.Release, machine) {
+			return c.Release
+		}
+	}
+	return nil
+}
+
+// elsewhere runs a pass after the release of a machine and returns what m2 is
+// told then.
+func (l *leader) elsewhere(release []string) string {
+	l.t.Helper()
+	l.Released(l.now, release)
+	l.pass(time.Second)
+	l.commit()
+	return ops(l.report("m2", 1))
+}
+
 func (l *leader) submit(id string) {
 	l.t.Helper()
 	var got controller.Verdict
@@ -536,10 +557,8 @@
 		l.pass(3 * time.Second)
 		l.report("m2", 1)
 		l.report("m1", uint64(2+i/5))
-		for _, c := range l.Plan(l.now) {
-			if c.Op == controller.CloudRelease && c.Release[0] == "m1" {
-				return
-			}
+		if l.planned("m1") != nil {
+			return
 		}
 	}
 	t.Fatal("not replaced")
@@ -579,15 +598,9 @@
 		if cs := next.report("m2", 1); len(cs) != 0 {
 			t.Fatalf("placed elsewhere before the release: %s", ops(cs))
 		}
-		for _, c := range next.Plan(next.now) {
-			if c.Op != controller.CloudRelease || c.Release[0] != "m1" {
-				continue
-			}
-			next.Released(next.now, c.Release)
-			next.pass(time.Second)
-			next.commit()
-			if cs := next.report("m2", 1); ops(cs) != "run job-1/0" {
-				t.Fatalf("after the release: %q", ops(cs))
+		if release := next.planned("m1"); release != nil {
+			if got := next.elsewhere(release); got != "run job-1/0" {
+				t.Fatalf("after the release: %q", got)
 			}
 			return
 		}
@@ -646,10 +659,8 @@
 		} else if len(cs) != 0 {
 			return
 		}
-		for _, c := range l.Plan(l.now) {
-			if c.Op == controller.CloudRelease && slices.Contains(c.Release, "m1") {
-				release = c.Release
-			}
+		if planned := l.planned("m1"); planned != nil {
+			release = planned
 		}
 	}
 	t.Fatal("not placed after its release")
@@ -669,16 +680,11 @@
 		if cs := l.report("m2", 1); len(cs) != 0 {
 			t.Fatalf("placed elsewhere: %s", ops(cs))
 		}
-		for _, c := range l.Plan(l.now) {
-			if c.Op == controller.CloudRelease && c.Release[0] == "m1" {
-				l.Released(l.now, c.Release)
-				l.pass(time.Second)
-				l.commit()
-				if cs := l.report("m2", 1); ops(cs) != "run job-1/0" {
-					t.Fatalf("after the release: %q", ops(cs))
-				}
-				return
+		if release := l.planned("m1"); release != nil {
+			if got := l.elsewhere(release); got != "run job-1/0" {
+				t.Fatalf("after the release: %q", got)
 			}
+			return
 		}
 	}
 	t.Fatal("not released")
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -37,6 +37,7 @@
 		if err := json.Unmarshal(value, &types); err != nil {
 			return err
 		}
+		c.catalogue = value // as stored: nothing to be written
 		c.SetTypes(types)
 	case "j":
 		var rec jobRecord
