--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -46,9 +47,9 @@
 	t.Helper()
 	c := controller.New(zerolog.Nop(), params, config.Operator{}, term, now, controller.Grace(params.Workers))
 	for _, prefix := range controller.Prefixes {
-		for k, v := range kept {
+		for _, k := range slices.Sorted(maps.Keys(kept)) {
 			if strings.HasPrefix(k, prefix) {
-				if err := c.Load(now, now, wire.Item{Key: k, Value: v}); err != nil {
+				if err := c.Load(now, now, wire.Item{Key: k, Value: kept[k]}); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -173,6 +174,11 @@
 		t.Fatal(ops(cs))
 	}
 	l.commit()
+	for key := range l.kept {
+		if strings.HasPrefix(key, "s/") || strings.HasPrefix(key, "j/") {
+			t.Errorf("%s is still stored", key)
+		}
+	}
 	later := newLeader(t, 6, l.now, l.kept)
 	if v := later.Query("job-1"); v.State != wire.JobDone || v.Done != 1 {
 		t.Fatalf("after a succession: %+v", v)
@@ -867,3 +873,105 @@
 		t.Fatal("no machine types known")
 	}
 }
+
+// TestLastRecordHolds: of two records that name a task the later one holds, as
+// it was started again only when it was nowhere else. A successor doesn't wait
+// for the machine of the earlier one.
+func TestLastRecordHolds(t *testing.T) {
+	l, _ := running(t)
+	for key, value := range maps.Clone(l.kept) {
+		if strings.HasPrefix(key, "s/") {
+			l.kept[key+"-later"] = json.RawMessage(strings.Replace(string(value), `"m1"`, `"m2"`, 1))
+		}
+	}
+	next := newLeader(t, 6, l.now, l.kept)
+	next.report("m2", 1) // knows this term, and hasn't got the task
+	next.pass(time.Second)
+	next.commit()
+	if cs := next.report("m2", 1); ops(cs) != "run job-1/0" {
+		t.Fatalf("want a start, got %q", ops(cs))
+	}
+}
+
+// TestRecordsGoOnlyAfterTheirSuccessors: however full a batch is, no start
+// record is deleted while another that has taken over from it waits.
+func TestRecordsGoOnlyAfterTheirSuccessors(t *testing.T) {
+	for pad := range 60 {
+		l, tr := running(t)
+		next := newLeader(t, 6, l.now, l.kept)
+		next.seq = 100
+		older := wire.TaskReport{Task: tr.Task, Attempt: 1, State: wire.TaskExited, Why: wire.WhyStopped}
+		next.report("m1", 1, older, tr)
+		// What users wait for goes first and nearly fills the transaction.
+		for i := range 100 {
+			j := spec(fmt.Sprintf("job-%06d", i))
+			j.Class = strings.Repeat("x", 120+pad)
+			next.Submit(next.now, next.now, j, func(controller.Verdict) {})
+		}
+		taken := false
+		for b := next.NextBatch(500, 500); b != nil; b = next.NextBatch(500, 500) {
+			for _, w := range b.Writes {
+				if strings.HasPrefix(w.Put, "s/") {
+					taken = true
+				}
+				if strings.HasPrefix(w.Delete, "s/") && !taken {
+					t.Fatalf("pad %d: %s deleted before what took over from it", pad, w.Delete)
+				}
+			}
+			next.Committed(b)
+		}
+		if !taken {
+			t.Fatal("the task seen was not recorded")
+		}
+	}
+}
+
+// TestStartRecordsFitTheValueLimit: the starts of one pass on many machines are
+// split into records that the state service takes.
+func TestStartRecordsFitTheValueLimit(t *testing.T) {
+	old := params
+	defer func() { params = old }()
+	params.State.ValueKB = 1
+	params.Teams = []config.Team{{Name: "blue", CPUs: 8, CPUsMax: 1600}}
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	wide := spec("job-1")
+	wide.Tasks, wide.CPUs = 40, 8
+	l.Submit(l.now, l.now, wide, func(controller.Verdict) {})
+	l.commit()
+	for i := range wide.Tasks {
+		l.report(fmt.Sprintf("i-%06d", i), 1)
+	}
+	l.pass(time.Second)
+	l.commit()
+	records := 0
+	for key, value := range l.kept {
+		if strings.HasPrefix(key, "s/") {
+			records++
+		}
+		if len(value) > 1024 {
+			t.Errorf("%s has %d bytes", key, len(value))
+		}
+	}
+	if held := newLeader(t, 6, l.now, l.kept).Counts().Held; held != wide.Tasks || records < 2 {
+		t.Errorf("%d records name %d of %d tasks", records, held, wide.Tasks)
+	}
+}
+
+// TestStrangerIsReplacedSoon: a new worker on the machine sends reports that
+// look like late copies. Once the lease of the old one is over the machine is
+// replaced; it need not be silent for long on top.
+func TestStrangerIsReplacedSoon(t *testing.T) {
+	l, _ := running(t)
+	l.Listed(l.now, l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+	for i := range 9 {
+		l.pass(3 * time.Second)
+		_, receipt := l.Report(l.now, &wire.Report{Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: uint64(i%2 + 1)}, true)
+		if receipt != controller.Stale {
+			t.Fatal("taken for the old worker")
+		}
+		if l.planned("m1") != nil {
+			return
+		}
+	}
+	t.Fatal("not replaced")
+}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"switchshore.example/switchshore/internal/sched"
+	"switchshore.example/switchshore/internal/tuning"
 )
 
 func vm(id string, cpus float64) *sched.Machine {
@@ -123,3 +124,40 @@
 		}
 	}
 }
+
+// TestAgedJobKeepsItsRoom: while a team's limit has no room for a task of an
+// aged job, its smaller tasks don't take what is left; other teams' do.
+func TestAgedJobKeepsItsRoom(t *testing.T) {
+	teams := unlimited()
+	teams["red"] = &sched.Team{Used: sched.Resources{CPUs: 6}, Max: sched.Resources{CPUs: 8, MemoryGB: 1000}}
+	aged, small := job("aged", 3, 1), job("small", 0, 2)
+	aged.Team, small.Team = "red", "red"
+	aged.Need.CPUs, aged.AgedS = 4, 100
+	got, _ := sched.Pass(0, []*sched.Ready{small, job("other", 2, 1), aged}, []*sched.Machine{vm("m", 16)}, teams, 10)
+	if fmt.Sprint(got) != "[{other m}]" {
+		t.Fatal(got)
+	}
+}
+
+// TestPassIsBounded: a pass over many machines and jobs ends in time for other
+// work and says that there is more to do; what it has decided stands.
+func TestPassIsBounded(t *testing.T) {
+	const machines = 500
+	var vms []*sched.Machine
+	for i := range machines {
+		vms = append(vms, vm(fmt.Sprintf("m%03d", i), 1))
+	}
+	var ready []*sched.Ready
+	for i := range 200 {
+		j := job(fmt.Sprintf("j%03d", i), 1, 1)
+		j.Urgency = float64(i) * 100
+		ready = append(ready, j)
+	}
+	starts, work := sched.Pass(0, ready, vms, unlimited(), 1000)
+	if !work.Unfinished || work.Scores > tuning.PassScores+2*machines {
+		t.Errorf("%+v", work)
+	}
+	if len(starts) == 0 || starts[0].Job != "j000" {
+		t.Errorf("started %v", starts)
+	}
+}
