A report overtaken by the answer to a direct call is answered

Cause (reading the change again): since stale reports get 503, one that a direct answer overtook by a few milliseconds made its worker leave its node and pause for a second, about one direct call in a hundred.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -975,3 +975,22 @@
 	}
 	t.Fatal("not replaced")
 }
+
+// TestOvertakenReportIsAnswered: the answer to a direct call can come before an
+// older report that takes the way through another node. That report is no late
+// copy: refused, its worker would leave its node. A copy of it is one.
+func TestOvertakenReportIsAnswered(t *testing.T) {
+	l, call, tr := called(t)
+	l.seq += 2
+	l.DirectDone(l.now, call, controller.DirectAnswered, &wire.Report{Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: l.seq, Token: 5, Tasks: []wire.TaskReport{tr}})
+	overtaken := &wire.Report{Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: l.seq - 1, Token: 5}
+	if a, receipt := l.Report(l.now, overtaken, true); receipt != controller.Taken || len(a.Commands) != 0 {
+		t.Fatalf("%v %+v", receipt, a)
+	}
+	if v := l.Query("job-1"); v.Run != 1 {
+		t.Fatal("an overtaken report moved the state back")
+	}
+	if _, receipt := l.Report(l.now, overtaken, true); receipt != controller.Stale {
+		t.Fatal("its copy was answered")
+	}
+}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -25,6 +25,7 @@
 	draining            bool
 
 	session, seq uint64
+	checkin      uint64 // the newest of the session that the worker sent by itself
 	// lostSession is the last session known to be over; what is still heard
 	// of it is old.
 	lostSession uint64
@@ -322,6 +323,12 @@
 	if m == nil {
 		m = c.addMachine(now, r.Machine, r.Type, r.Zone, r.Addr, r.Spot)
 	}
+	if m.overtaken(r) {
+		// It is on its way still, and its worker waits for an answer.
+		m.checkin = r.Seq
+		m.heardAt, m.answeredAt = now, now
+		return answer, Taken
+	}
 	if m.old(r) {
 		// It proves nothing, renews nothing and gets no commands.
 		if m.strangers++; m.strangers == 1 {
@@ -331,6 +338,7 @@
 	}
 	c.hearing(now, m, r)
 	c.newer(m, r)
+	m.checkin = r.Seq
 	m.heardAt, m.answeredAt = now, now
 	m.addr = r.Addr
 	if !m.up {
@@ -393,10 +401,18 @@
 	return r.Session <= m.lostSession || r.Session < m.session || r.Session == m.session && r.Seq <= m.seq
 }
 
+// overtaken reports whether a report is older than the newest message only
+// because the answer to a direct call came before it, by a shorter way. Refused,
+// its worker would leave its node for nothing.
+func (m *machine) overtaken(r *wire.Report) bool {
+	return r.Session > m.lostSession && r.Session == m.session && r.Seq > m.checkin && r.Seq <= m.seq
+}
+
 // newer notes the order of a report; a new session ends all that is late.
 func (c *Controller) newer(m *machine, r *wire.Report) {
 	if r.Session > m.session {
 		clear(m.keep)
+		m.checkin = 0
 		if !m.draining {
 			m.fenceBy = time.Time{}
 		}
