Calls from a peer of another version without what they need are refused for now

Found in rereading: a follower of the former version would forward reports as raw bodies during an upgrade, and the leader would have ended on them.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -41,6 +41,18 @@
 	Hops int `json:"hops,omitempty"`
 }
 
+// complete reports whether the call carries what its operation needs. A peer
+// of another version, in the middle of an upgrade, may send less.
+func (c *Call) complete() bool {
+	switch c.Op {
+	case OpSubmit:
+		return c.Spec != nil
+	case OpReport:
+		return c.Report != nil
+	}
+	return true
+}
+
 // Answer is a status with what the caller is told: of a job, of a report, or
 // why it is refused.
 type Answer struct {
@@ -222,6 +234,8 @@
 			h.saw(m.Beat)
 			self := h.Self()
 			_ = out.write(&line{Beat: &self})
+		case m.Call != nil && !m.Call.complete():
+			_ = out.write(&line{Answer: &Answer{ID: m.Call.ID, Status: http.StatusServiceUnavailable, Why: "incomplete call"}})
 		case m.Call != nil:
 			select {
 			case slots <- struct{}{}:
