Reread: one order of lines, one probe of a job, one place of a machine, shared steps in tests

The order of jobs and the check that two are in one line said the same twice; a job's and a machine's constraints were spelled out at four calls of Allowed; a pass's used-up pictures were marked in a loop of their own; the number of priorities had no user left. A look that emptied as many machines as it may left out its debug line. Decisions are the same.

--- a/internal/controller/consolidate.go
+++ b/internal/controller/consolidate.go
@@ -36,14 +36,11 @@
 		return cmp.Or(-cmp.Compare(c.price(a), c.price(b)), -cmp.Compare(a.free.CPUs/a.total.CPUs, b.free.CPUs/b.total.CPUs))
 	})
 	room := map[*machine]sched.Resources{}
-	for _, m := range others {
-		room[m] = m.free
-	}
-	for _, m := range movable {
+	targets := slices.Concat(movable, others)
+	for _, m := range targets {
 		room[m] = m.free
 	}
 	// Work that waits goes before tasks that run already.
-	targets := append(slices.Clone(movable), others...)
 	for _, j := range c.activeJobs() {
 		for range j.ready {
 			m := roomFor(j, targets, room)
@@ -56,12 +53,12 @@
 	moves := 0
 	for i, m := range movable {
 		if moves >= max(1, len(c.order)/tuning.MoveParts) {
-			return
+			break
 		}
 		if room[m] != m.free {
 			continue // it has got or will get work
 		}
-		targets := append(slices.Clone(others), movable[i+1:]...)
+		targets := slices.Concat(others, movable[i+1:])
 		slices.SortStableFunc(targets, func(a, b *machine) int { return cmp.Compare(room[a].CPUs, room[b].CPUs) })
 		to := make([]*machine, 0, len(m.attempts))
 		for _, a := range m.attempts {
@@ -112,9 +109,9 @@
 // roomFor finds the first machine that may take a task of the job and has
 // room for it.
 func roomFor(j *job, targets []*machine, room map[*machine]sched.Resources) *machine {
-	probe := sched.Ready{Types: j.Types, Zone: j.Zone, OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, Need: j.need, Total: j.Tasks, InZone: j.inZone}
+	probe := j.probe()
 	for _, m := range targets {
-		if room[m].Fits(j.need) && !m.avoid[j.ID] && probe.Allowed(&sched.Machine{Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total}) {
+		if room[m].Fits(j.need) && !m.avoid[j.ID] && probe.Allowed(m.place()) {
 			return m
 		}
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -102,14 +102,30 @@
 	return nil
 }
 
-// elsewhere runs a pass after the release of a machine and returns what m2 is
-// told then.
-func (l *leader) elsewhere(release []string) string {
+// onlyAfterRelease checks that the task of m1 does not go to m2 before m1 is
+// released, that it is released, and that the task goes to m2 then. each runs
+// in every step.
+func (l *leader) onlyAfterRelease(step time.Duration, each func()) {
 	l.t.Helper()
-	l.Released(l.now, release)
-	l.pass(time.Second)
-	l.commit()
-	return ops(l.report("m2", 1))
+	for range 40 {
+		l.pass(step)
+		each()
+		l.report("m2", 1)
+		l.commit()
+		if cs := l.report("m2", 1); len(cs) != 0 {
+			l.t.Fatalf("placed elsewhere before the release: %s", ops(cs))
+		}
+		if release := l.planned("m1"); release != nil {
+			l.Released(l.now, release)
+			l.pass(time.Second)
+			l.commit()
+			if cs := l.report("m2", 1); ops(cs) != "run job-1/0" {
+				l.t.Fatalf("after the release: %q", ops(cs))
+			}
+			return
+		}
+	}
+	l.t.Fatal("not released")
 }
 
 func (l *leader) submit(id string) {
@@ -596,22 +612,11 @@
 	l, tr := running(t)
 	next := newLeader(t, 6, l.now, l.kept)
 	next.Listed(next.now, next.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
-	for i := range 40 {
-		next.pass(3 * time.Second)
-		next.Report(next.now, &wire.Report{Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: 100 + uint64(i), Token: 5, Tasks: []wire.TaskReport{tr}}, true)
-		next.report("m2", 1)
-		next.commit()
-		if cs := next.report("m2", 1); len(cs) != 0 {
-			t.Fatalf("placed elsewhere before the release: %s", ops(cs))
-		}
-		if release := next.planned("m1"); release != nil {
-			if got := next.elsewhere(release); got != "run job-1/0" {
-				t.Fatalf("after the release: %q", got)
-			}
-			return
-		}
-	}
-	t.Fatal("not released")
+	seq := uint64(100)
+	next.onlyAfterRelease(3*time.Second, func() {
+		seq++
+		next.Report(next.now, &wire.Report{Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: seq, Token: 5, Tasks: []wire.TaskReport{tr}}, true)
+	})
 }
 
 // TestLateCopiesRenewNothing: reports that come again, late, neither keep a
@@ -679,21 +684,7 @@
 	l, call, _ := called(t)
 	l.DirectDone(l.now, call, controller.DirectUnknown, nil)
 	l.Listed(l.now, l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
-	for range 40 {
-		l.pass(time.Second)
-		l.report("m2", 1)
-		l.commit()
-		if cs := l.report("m2", 1); len(cs) != 0 {
-			t.Fatalf("placed elsewhere: %s", ops(cs))
-		}
-		if release := l.planned("m1"); release != nil {
-			if got := l.elsewhere(release); got != "run job-1/0" {
-				t.Fatalf("after the release: %q", got)
-			}
-			return
-		}
-	}
-	t.Fatal("not released")
+	l.onlyAfterRelease(time.Second, func() {})
 }
 
 // TestSeenTaskIsRecordedAnew: an older attempt of a task has exited on the
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -389,12 +389,6 @@
 	}
 }
 
-// unheard notes that starts in an answer had no effect.
-func (m *machine) unheard(now time.Time) {
-	m.unheeded++
-	m.unheededAt = now
-}
-
 // old reports whether a report is of a session known to be over, or not newer
 // than the newest one taken in.
 func (m *machine) old(r *wire.Report) bool {
@@ -502,14 +496,12 @@
 			c.changed = true
 		}
 	}
-	ignored := false
-	for _, a := range m.attempts {
-		if a.round != c.round && a.state == ordered && checkin && a.sentSeq != 0 {
-			ignored = true
-		}
-	}
-	if ignored {
-		m.unheard(now)
+	if checkin && slices.ContainsFunc(m.attempts, func(a *attempt) bool {
+		return a.round != c.round && a.state == ordered && a.sentSeq != 0
+	}) {
+		// Starts in an earlier answer had no effect.
+		m.unheeded++
+		m.unheededAt = now
 	}
 	for i := len(m.attempts) - 1; i >= 0; i-- {
 		a := m.attempts[i]
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -51,11 +52,6 @@
 	}
 	starts, work := sched.Pass(c.clock(now), c.withAged(now, ready, byID), machines, teams, tuning.PassStarts)
 	c.scores += work.Scores
-	for _, v := range machines {
-		if v.Touched {
-			c.machines[v.ID].stale = true
-		}
-	}
 	for _, s := range starts {
 		j, m := byID[s.Job], c.machines[s.Machine]
 		last := len(j.ready) - 1
@@ -116,26 +112,34 @@
 		if len(j.ready) == 0 || now.Before(j.notUntil) {
 			continue
 		}
-		r := &sched.Ready{
-			Job: j.ID, Team: j.Team, Level: j.level, Guaranteed: guaranteed[j],
-			Urgency: c.urgency(now, j, cpus), Tasks: len(j.ready), Need: j.need,
-			EstimateS: c.estimate(j), Image: j.Image, ImageGB: j.ImageGB,
-			Types: j.Types, Zone: j.Zone, OneZone: j.OneZone, Spread: j.Spread,
-			Spot: j.Spot, Total: j.Tasks, InZone: map[string]int{},
-		}
+		r := j.probe()
+		r.Job, r.Team, r.Level, r.Guaranteed = j.ID, j.Team, j.level, guaranteed[j]
+		r.Urgency, r.Tasks = c.urgency(now, j, cpus), len(j.ready)
+		r.EstimateS, r.Image, r.ImageGB = c.estimate(j), j.Image, j.ImageGB
 		if j.failures > 0 {
 			// A job whose tasks fail tries one at a time.
 			r.Tasks = 1
 		}
-		for z, n := range j.inZone {
-			r.InZone[z] = n
-		}
+		r.InZone = maps.Clone(j.inZone) // a pass counts its own starts in
 		byID[j.ID] = j
 		ready = append(ready, r)
 	}
 	return ready, byID
 }
 
+// probe is where tasks of the job may be, to the placement rule.
+func (j *job) probe() *sched.Ready {
+	return &sched.Ready{
+		Types: j.Types, Zone: j.Zone, OneZone: j.OneZone, Spread: j.Spread,
+		Spot: j.Spot, Need: j.need, Total: j.Tasks, InZone: j.inZone,
+	}
+}
+
+// place is the machine as far as the rule asks where a task may be at all.
+func (m *machine) place() *sched.Machine {
+	return &sched.Machine{Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total}
+}
+
 // urgency orders jobs of one priority: by slack, and by the time that all
 // machines together would need for the rest of the job, as under a backlog
 // more jobs end in time when the small ones go first. Jobs without a time to
@@ -186,9 +190,9 @@
 }
 
 // snapshot describes a machine to the placement rule. It is made anew only
-// when something has changed there.
+// when something has changed there, or a pass has used it up.
 func (c *Controller) snapshot(now time.Time, m *machine) *sched.Machine {
-	if !m.stale {
+	if !m.stale && !m.view.Touched {
 		return m.view
 	}
 	m.stale = false
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -163,7 +163,7 @@
 	least := math.Inf(1)
 	for _, m := range machines {
 		room, ok := coming[m]
-		if !ok || m.avoid[r.Job] || !r.Allowed(&sched.Machine{Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total}) {
+		if !ok || m.avoid[r.Job] || !r.Allowed(m.place()) {
 			continue
 		}
 		if room.Fits(r.Need) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -335,10 +335,10 @@
 			jobs = append(jobs, r)
 		}
 	}
-	slices.SortStableFunc(jobs, compare)
+	slices.SortStableFunc(jobs, func(a, b *Ready) int { return cmp.Or(compareLines(a, b), strings.Compare(a.Job, b.Job)) })
 	for from := 0; from < len(jobs); {
 		to := from + 1
-		for to < len(jobs) && jobs[to].sameLine(jobs[from]) {
+		for to < len(jobs) && compareLines(jobs[to], jobs[from]) == 0 {
 			to++
 		}
 		if jobs[from].Level == p.full && jobs[from].AgedS == 0 {
@@ -357,20 +357,16 @@
 // step is the line of a job by urgency.
 func (r *Ready) step() float64 { return math.Floor(r.Urgency / tuning.UrgencyStep) }
 
-// compare orders jobs: aged ones, then by level, those within their team's
-// guarantee before borrowers, then by urgency.
-func compare(a, b *Ready) int {
-	switch {
-	case a.AgedS != b.AgedS:
-		return cmp.Compare(b.AgedS, a.AgedS)
-	case a.Level != b.Level:
-		return a.Level - b.Level
-	case a.Guaranteed != b.Guaranteed:
-		return yes(b.Guaranteed) - yes(a.Guaranteed)
-	case a.step() != b.step():
-		return cmp.Compare(a.step(), b.step())
-	}
-	return strings.Compare(a.Job, b.Job)
+// compareLines orders the lines of jobs: aged ones, then by level, those within
+// their team's guarantee before borrowers, then by urgency. Among the jobs of
+// one line the speedup decides.
+func compareLines(a, b *Ready) int {
+	return cmp.Or(
+		cmp.Compare(b.AgedS, a.AgedS),
+		cmp.Compare(a.Level, b.Level),
+		yes(b.Guaranteed)-yes(a.Guaranteed),
+		cmp.Compare(a.step(), b.step()),
+	)
 }
 
 func yes(b bool) int {
@@ -380,11 +376,6 @@
 	return 0
 }
 
-// sameLine reports whether the speedup decides between two jobs.
-func (r *Ready) sameLine(o *Ready) bool {
-	return r.AgedS == o.AgedS && r.Level == o.Level && r.Guaranteed == o.Guaranteed && r.step() == o.step()
-}
-
 // line places the tasks of jobs among which the speedup decides; later are
 // the jobs that come after them. It is false if the pass has to end.
 func (p *pass) line(jobs, later []*Ready) bool {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -47,9 +47,6 @@
 	PriorityIdle     = "idle"
 )
 
-// PriorityLevels is the number of priorities.
-const PriorityLevels = 4
-
 // Level maps a priority to its rank, 0 being the highest, or -1 if unknown.
 func Level(priority string) int {
 	switch priority {
