--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -40,6 +40,10 @@
 	err     error
 	split   map[[2]int]bool // pairs of nodes that can't reach each other
 	calm    time.Time       // no new trouble after
+	slow    time.Time       // the state service is slow until then
+	// A zone is cut off from everything until then; inside it goes on.
+	cutZone      string
+	cutZoneUntil time.Time
 }
 
 // maxSpan is the time after calm in which the last troubles end.
@@ -71,6 +75,7 @@
 type node struct {
 	id       int
 	name     string
+	zone     string
 	drift    float64
 	life     int // raised by every crash; what belongs to an earlier one is void
 	up       bool
@@ -81,6 +86,7 @@
 	writer   *store.Writer
 	batch    *controller.Batch
 	cutState time.Time // no way to the state service until then
+	frozen   time.Time // stands still until then, while its clocks run on
 }
 
 type worker struct {
@@ -111,7 +117,7 @@
 		split:   map[[2]int]bool{},
 	}
 	for i := range nodes {
-		n := &node{id: i, name: fmt.Sprintf("node-%d", i), up: true, drift: (w.rng.Float64() - 0.5) * 0.001}
+		n := &node{id: i, name: fmt.Sprintf("node-%d", i), zone: t.Zones[i%len(t.Zones)], up: true, drift: (w.rng.Float64() - 0.5) * 0.001}
 		w.nodes = append(w.nodes, n)
 		w.after(w.between(0, 100), func() { w.nodeStep(n, n.life) })
 	}
@@ -123,6 +129,23 @@
 	heap.Push(&w.queue, &event{w.now.Add(d), w.seq, do})
 }
 
+// at does something on a node after a time: on one that stands still, once it
+// goes on. What it had decided before is sent then.
+func (w *World) at(n *node, d time.Duration, do func()) {
+	w.after(d, func() {
+		if w.now.Before(n.frozen) {
+			w.at(n, n.frozen.Sub(w.now), do)
+			return
+		}
+		do()
+	})
+}
+
+// parted reports whether a cut zone lies between two places.
+func (w *World) parted(a, b string) bool {
+	return w.now.Before(w.cutZoneUntil) && a != b && (a == w.cutZone || b == w.cutZone)
+}
+
 // between draws a duration in milliseconds.
 func (w *World) between(from, to int) time.Duration {
 	return time.Duration(from+w.rng.IntN(to-from+1)) * time.Millisecond
@@ -186,12 +209,20 @@
 func (w *World) toState(n *node, do func() error, done func(err error)) {
 	life := n.life
 	answer := func(d time.Duration, err error) {
-		w.after(d, func() {
+		w.at(n, d, func() {
 			if n.up && n.life == life {
 				done(err)
 			}
 		})
 	}
+	if w.now.Before(n.frozen) {
+		w.at(n, 0, func() {
+			if n.up && n.life == life {
+				w.toState(n, do, done)
+			}
+		})
+		return
+	}
 	if w.now.Before(n.cutState) {
 		if w.chance(0.5) {
 			// Held back and delivered when the cut ends, or a good while later.
@@ -201,7 +232,11 @@
 		return
 	}
 	lost := w.troubled() && w.chance(0.02)
-	w.after(w.between(1, 10), func() {
+	latency := w.between(1, 10)
+	if w.now.Before(w.slow) {
+		latency *= 40
+	}
+	w.after(latency, func() {
 		err := do()
 		if lost {
 			answer(tuning.StoreTimeout, httpc.ErrNoAnswer)
@@ -218,7 +253,7 @@
 	if !n.up || n.life != life {
 		return
 	}
-	again := func(d time.Duration) { w.after(d, func() { w.nodeStep(n, life) }) }
+	again := func(d time.Duration) { w.at(n, d, func() { w.nodeStep(n, life) }) }
 	if n.term != nil {
 		sent := w.clock(n)
 		lease := n.lease
@@ -331,7 +366,7 @@
 	}
 	if n.batch == nil {
 		if n.batch = p.NextBatch(8, w.rng.IntN(5)); n.batch == nil {
-			w.after(tuning.BatchGap, func() { w.pump(n, p) })
+			w.at(n, tuning.BatchGap, func() { w.pump(n, p) })
 			return
 		}
 		n.writer.Begin(n.batch.Writes)
@@ -355,7 +390,7 @@
 		n.batch = nil
 		w.pump(n, p)
 	case store.Again:
-		w.after(tuning.StoreRetry, func() { w.pump(n, p) })
+		w.at(n, tuning.StoreRetry, func() { w.pump(n, p) })
 	case store.Deposed:
 		w.depose(n)
 	case store.Settle:
@@ -387,7 +422,7 @@
 			w.direct(n, p, call)
 		}
 	}
-	w.after(w.between(30, 120), func() { w.tick(n, p) })
+	w.at(n, w.between(30, 120), func() { w.tick(n, p) })
 }
 
 func (w *World) call(n *node, p *controller.Controller, call controller.CloudCall) {
@@ -412,13 +447,13 @@
 			p.Released(w.clock(n), call.Release)
 		}
 	}
-	w.after(w.between(50, 200), func() {
-		if w.troubled() && w.chance(0.1) {
+	w.at(n, w.between(50, 200), func() {
+		if w.parted(n.zone, "") || w.troubled() && w.chance(0.1) {
 			// No answer: the request may come much later; it is repeated.
 			if w.chance(0.5) {
 				w.after(w.between(0, 90_000), do)
 			}
-			w.after(tuning.CloudTimeout, func() {
+			w.at(n, tuning.CloudTimeout, func() {
 				if n.picture == p {
 					w.call(n, p, call)
 				}
@@ -426,14 +461,14 @@
 			return
 		}
 		do()
-		w.after(w.between(10, 100), answer)
+		w.at(n, w.between(10, 100), answer)
 	})
 }
 
 // direct carries a direct call to a worker; it may come minutes late.
 func (w *World) direct(n *node, p *controller.Controller, call *controller.DirectCall) {
 	done := func(d time.Duration, o controller.DirectOutcome, r *wire.Report) {
-		w.after(d, func() {
+		w.at(n, d, func() {
 			if n.picture == p {
 				p.DirectDone(w.clock(n), call, o, r)
 			}
@@ -452,16 +487,16 @@
 	switch {
 	case m == nil:
 		done(tuning.DirectTimeout, controller.DirectNever, nil)
-	case w.now.Before(m.cutUntil) || w.now.Before(m.deafTo) || w.now.Before(m.hung) || w.troubled() && w.chance(0.05):
+	case w.parted(n.zone, m.Offer.Zone) || w.now.Before(m.cutUntil) || w.now.Before(m.deafTo) || w.now.Before(m.hung) || w.troubled() && w.chance(0.05):
 		if w.chance(0.3) {
 			done(tuning.DirectTimeout, controller.DirectNever, nil)
 			return
 		}
-		late := max(m.cutUntil.Sub(w.now), m.deafTo.Sub(w.now), m.hung.Sub(w.now), 0) + w.between(0, 60_000)
+		late := max(m.cutUntil.Sub(w.now), m.deafTo.Sub(w.now), m.hung.Sub(w.now), w.cutZoneUntil.Sub(w.now), 0) + w.between(0, 60_000)
 		w.after(late, func() { deliver(true) })
 		done(tuning.DirectTimeout, controller.DirectUnknown, nil)
 	default:
-		w.after(w.between(1, 20), func() {
+		w.at(n, w.between(1, 20), func() {
 			if r := deliver(false); r != nil {
 				done(w.between(1, 100), controller.DirectAnswered, r)
 			} else {
@@ -478,12 +513,14 @@
 	asked := w.clock(n)
 	lag := time.Duration(w.Params.Cloud.ListLagS * (0.5 + w.rng.Float64()) * float64(time.Second))
 	rows := w.Cloud.List(w.now, lag)
-	w.after(w.between(20, 200), func() {
-		if n.picture == p {
-			p.Listed(asked, w.clock(n), rows)
-		}
-	})
-	w.after(w.between(2000, 4000), func() { w.list(n, p) })
+	if !w.parted(n.zone, "") {
+		w.at(n, w.between(20, 200), func() {
+			if n.picture == p {
+				p.Listed(asked, w.clock(n), rows)
+			}
+		})
+	}
+	w.at(n, w.between(2000, 4000), func() { w.list(n, p) })
 }
 
 // boot brings rented machines up when their time has come.
@@ -567,16 +604,22 @@
 	}
 	w.after(4*time.Second, fail)
 	deliver := func() {
-		a, ok := w.handle(target, r)
-		if !ok {
+		n := w.handler(target)
+		if n == nil {
+			w.after(w.between(1, 20), fail)
+			return
+		}
+		now := w.clock(n)
+		a, receipt := n.picture.Report(now, r, n.term.Authority(now))
+		if receipt != controller.Taken {
 			w.after(w.between(1, 20), fail)
 			return
 		}
 		if w.troubled() && w.chance(0.02) {
 			return
 		}
-		w.after(w.between(1, 50), func() {
-			if answered || m.gone || w.now.Before(m.cutUntil) || w.now.Before(m.deafTo) || w.now.Before(m.hung) {
+		w.at(n, w.between(1, 50), func() {
+			if answered || m.gone || w.parted(target.zone, m.Offer.Zone) || w.now.Before(m.cutUntil) || w.now.Before(m.deafTo) || w.now.Before(m.hung) {
 				return
 			}
 			answered = true
@@ -584,13 +627,17 @@
 			m.Answer(w.now, sent, r.Session, a)
 		})
 	}
-	if w.now.Before(m.cutUntil) {
+	if parted := w.parted(target.zone, m.Offer.Zone); parted || w.now.Before(m.cutUntil) {
+		until := m.cutUntil
+		if parted {
+			until = w.cutZoneUntil
+		}
 		if w.chance(0.5) {
-			w.after(m.cutUntil.Sub(w.now)+w.between(0, 30_000), deliver)
+			w.after(until.Sub(w.now)+w.between(0, 30_000), deliver)
 		}
 		return
 	}
-	w.after(w.between(1, 50), deliver)
+	w.at(target, w.between(1, 50), deliver)
 	if w.troubled() && w.chance(0.02) {
 		// A late copy, by up to several leases.
 		w.after(w.between(100, 90_000), deliver)
@@ -608,22 +655,17 @@
 	var best *node
 	for _, n := range w.nodes {
 		pair := [2]int{min(n.id, target.id), max(n.id, target.id)}
-		if n.up && n.picture != nil && entitled(n) && !w.split[pair] && (best == nil || n.term.Term > best.term.Term) {
+		if n.up && !w.now.Before(n.frozen) && n.picture != nil && entitled(n) && !w.split[pair] && !w.parted(n.zone, target.zone) && (best == nil || n.term.Term > best.term.Term) {
 			best = n
 		}
 	}
 	return best
 }
 
-func (w *World) handle(target *node, r *wire.Report) (wire.ReportAnswer, bool) {
+// handler finds the node that answers a worker at target.
+func (w *World) handler(target *node) *node {
 	grace := controller.Grace(w.Params.Workers)
-	n := w.route(target, func(n *node) bool { return n.term.Grace(w.clock(n), grace) })
-	if n == nil {
-		return wire.ReportAnswer{}, false
-	}
-	now := w.clock(n)
-	a, receipt := n.picture.Report(now, r, n.term.Authority(now))
-	return a, receipt == controller.Taken
+	return w.route(target, func(n *node) bool { return n.term.Grace(w.clock(n), grace) })
 }
 
 // leaderFor finds the node that answers a user at target.
@@ -652,7 +694,10 @@
 	target := w.nodes[w.rng.IntN(len(w.nodes))]
 	answered := false
 	sent := w.now
-	w.after(w.between(1, 20), func() {
+	w.at(target, w.between(1, 20), func() {
+		if w.parted(target.zone, "") {
+			return
+		}
 		n := w.leaderFor(target)
 		if n == nil {
 			answered = true
@@ -660,7 +705,7 @@
 			return
 		}
 		send(n, func(v controller.Verdict) {
-			w.after(w.between(1, 20), func() {
+			w.at(n, w.between(1, 20), func() {
 				if !answered {
 					answered = true
 					if err := w.Rules.Told(w.now, sent, j.ID, v.Status, v.State, submission); err != nil && w.err == nil {
@@ -717,9 +762,12 @@
 	NodesFlap                // back within a fraction of a second, also amid an election, and down again
 	StateOutage              // for all
 	StateRefused             // for one node
+	StateSlow                // for all
 	LeaderCut                // the leader loses the state service
+	LeaderFrozen             // the leader stands still while its clocks run on
 	LeaderIsolated           // and the other controllers, but not its workers
 	NodesApart               // two can't reach each other
+	ZoneCut                  // a zone is cut off from everything, messages are held
 	MachineCut               // no network; messages may come late
 	MachineDeaf              // its reports arrive, answers and commands don't get there
 	MachineHangs             // and goes on later
@@ -783,6 +831,17 @@
 		n.cutState = w.now.Add(span)
 	case LeaderCut:
 		leaders(func(n *node) { n.cutState = w.now.Add(span) })
+	case StateSlow:
+		w.slow = w.now.Add(span)
+	case LeaderFrozen:
+		leaders(func(n *node) { n.frozen = w.now.Add(span) })
+	case ZoneCut:
+		w.cutZone, w.cutZoneUntil = w.Cloud.Type.Zones[w.rng.IntN(len(w.Cloud.Type.Zones))], w.now.Add(span)
+		for _, n := range w.nodes {
+			if n.zone == w.cutZone {
+				n.cutState = w.cutZoneUntil
+			}
+		}
 	case LeaderIsolated:
 		leaders(func(n *node) { w.isolate(n, span) })
 	case NodesApart:
@@ -832,6 +891,7 @@
 	}
 	n.up = false
 	n.life++
+	n.frozen = time.Time{}
 	n.term, n.picture, n.writer, n.batch = nil, nil, nil, nil
 	w.after(down, func() {
 		n.up = true
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -107,6 +107,8 @@
 func TestDaysOfOneTrouble(t *testing.T) {
 	for name, kinds := range map[string][]standin.Trouble{
 		"isolated leader": {standin.LeaderIsolated},
+		"frozen leader":   {standin.LeaderFrozen, standin.StateSlow},
+		"zones cut off":   {standin.ZoneCut, standin.NodeCrash},
 		"deaf machines":   {standin.MachineDeaf},
 		"new workers":     {standin.WorkerReplaced, standin.MachineCut},
 		"flapping nodes":  {standin.NodesFlap, standin.NodesCrash},
