Machines missed for long are given up where the work on them is pressing

Cause, from replays of zone and loss: urgent work on machines that fall silent (a zone cut off, hung, died) started again only when their leases had run out, 27 to 32 s after the last answer, and after a succession up to 52 s later, as the old leader may go on answering in the cut zone. A release proves them gone at once. Rentals went into the cut zone, where nothing can report. Now a machine missed for 2.5 report intervals is released if work on it would be late by the end of its lease, unless hardly any machine is heard; no rentals in a zone that seems cut off.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -56,6 +56,7 @@
 	dirty      map[*job]time.Time // jobs with unwritten completions, since when
 	ratio      map[string]float64 // run time over estimate, by class
 	refused    map[provision.Offer]time.Time
+	dark       map[string]time.Time // zones that seem to be cut off, until then
 	renting    map[string]*rental
 	lists      uint64
 	nextPlan   time.Time
@@ -98,6 +99,7 @@
 		dirty:    map[*job]time.Time{},
 		ratio:    map[string]float64{},
 		refused:  map[provision.Offer]time.Time{},
+		dark:     map[string]time.Time{},
 		renting:  map[string]*rental{},
 	}
 	for _, t := range p.Teams {
--- a/internal/controller/grown_test.go
+++ b/internal/controller/grown_test.go
@@ -26,6 +26,7 @@
 	changes, bytes, starts int
 	accepted               int
 	scores, worst          int // pairs looked at, in all and in one pass
+	cloud                  int // calls
 	submitted              map[string]time.Time
 	waits                  []time.Duration
 }
@@ -38,7 +39,8 @@
 	next   time.Time
 	sent   time.Time
 	change bool
-	dead   bool
+	dead   bool // silent for good, but listed
+	gone   bool // released
 }
 
 // newFleet returns a leader of term 5 with machines that are up, but unheard.
@@ -146,6 +148,17 @@
 	f.scores = f.Counts().Scores
 	f.worst = max(f.worst, f.scores-before)
 	f.write()
+	for _, call := range f.Plan(f.now) {
+		f.cloud++
+		if call.Op == controller.CloudRent {
+			f.Rented(f.now, call.Rent, nil)
+			continue
+		}
+		for _, id := range call.Release {
+			f.byName[id].dead, f.byName[id].gone = true, true
+		}
+		f.Released(f.now, call.Release)
+	}
 	for _, call := range f.Direct(f.now) {
 		w := f.byName[call.Machine]
 		if w.dead {
@@ -242,8 +255,22 @@
 	t.Logf("%d starts, %.2f changes and %d bytes each, %d records, %d scores", f.starts, float64(f.changes)/float64(f.starts), f.bytes/f.starts, records, f.Counts().Scores)
 }
 
-// TestFarLargerFleet: 2,200 machines under a backlog of long tasks that save and
-// of urgent ones, some 200 starts a second.
+// list hands the leader the cloud's list, in which the dead still stand.
+func (f *fleet) list() {
+	var rows []wire.ListedMachine
+	for _, w := range f.workers {
+		if !w.gone {
+			rows = append(rows, wire.ListedMachine{Name: w.name, Addr: w.name + ":9", Type: "std-8", Zone: "a", State: wire.MachineRunning, AgeS: f.now.Sub(start).Seconds()})
+		}
+	}
+	f.Listed(f.now, f.now, rows)
+}
+
+// TestFarLargerFleet: 2,200 machines under a lasting backlog of long tasks that
+// save and of urgent ones, some hundred starts a second. A tenth of the machines
+// die with all on them, and the leader soon after. What it costs stays bounded
+// and the machines stay in use: a pass that scored every machine for every job
+// that had waited long once left 39,000 of 46,000 CPUs idle.
 func TestFarLargerFleet(t *testing.T) {
 	oldParams, oldType := params, bigType
 	defer func() { params, bigType = oldParams, oldType }()
@@ -255,8 +282,9 @@
 	params.Workers = config.Workers{ReportS: 6, LeaseS: 31, CancelS: 56}
 	params.State = config.State{RPS: 250, WriteRPS: 100, ValueKB: 8, TxnOps: 24}
 	params.Cloud = config.Cloud{RPS: 2, ListLagS: 8}
-	f := newFleet(t, 2200)
-	for tick := range 900 {
+	const machines = 2200
+	f := newFleet(t, machines)
+	for tick := range 1800 {
 		for k := range 10 {
 			number := 10*tick + k
 			var j *wire.Job
@@ -264,6 +292,8 @@
 			case tick%10 == 0 && k < 4:
 				j = spec(fmt.Sprintf("job-%06d", number))
 				j.Tasks, j.CPUs, j.MemoryGB, j.EstimateS = 30+f.rng.IntN(60), 4, 14, 10
+				deadline := 60.0
+				j.DeadlineS = &deadline
 			case tick%15 == 0 && k == 5 || tick == 0:
 				j = spec(fmt.Sprintf("job-9%05d", number))
 				j.Tasks, j.CPUs, j.MemoryGB, j.EstimateS, j.Priority = 100+f.rng.IntN(600), 8, 28, 70, wire.PriorityNormal
@@ -275,9 +305,41 @@
 			j.Image, j.ImageGB = fmt.Sprint("img", f.rng.IntN(20)), 1.5
 			f.ask(j)
 		}
+		if tick%60 == 0 {
+			f.list()
+		}
+		switch tick {
+		case 1000:
+			for i := range machines / 10 {
+				f.workers[10*i].dead = true
+			}
+		case 1050:
+			on := f.running()
+			f.leader = newLeader(t, 6, f.now, f.kept)
+			if n := f.Counts(); n.Held < on {
+				t.Errorf("a successor knows of %d tasks, %d run", n.Held, on)
+			}
+			f.scores = 0
+			f.list()
+		}
 		f.step()
-		f.Plan(f.now)
 	}
 	n := f.Counts()
-	t.Logf("%d accepted, %d starts, %+v", f.accepted, f.starts, n)
+	t.Logf("%d accepted, %d starts, %.2f changes and %d bytes each, %d pairs in one pass at most, %d calls to the cloud, %+v",
+		f.accepted, f.starts, float64(f.changes)/float64(f.starts), f.bytes/f.starts, f.worst, f.cloud, n)
+	if f.worst > 2*tuning.PassScores+4*machines {
+		t.Errorf("one pass looked at %d pairs", f.worst)
+	}
+	if f.changes > f.starts {
+		t.Errorf("%d changes for %d starts", f.changes, f.starts)
+	}
+	if n.WantedCPUs < n.CPUs || n.UsedCPUs < 0.95*n.CPUs {
+		t.Errorf("%.0f of %.0f CPUs in use with work for %.0f waiting", n.UsedCPUs, n.CPUs, n.WantedCPUs)
+	}
+	if n.Up > machines-machines/10 {
+		t.Errorf("%d machines count as up", n.Up)
+	}
+	if n.Writes > 200 {
+		t.Errorf("%d changes wait", n.Writes)
+	}
 }
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -649,7 +649,12 @@
 }
 
 func (c *Controller) silent(now time.Time, m *machine) bool {
-	return now.Sub(m.heardAt) > seconds(c.params.Workers.ReportS*tuning.SilentReports)
+	return now.Sub(m.heardAt) > c.silence()
+}
+
+// silence is the time without a report that makes a machine silent.
+func (c *Controller) silence() time.Duration {
+	return seconds(c.params.Workers.ReportS * tuning.SilentReports)
 }
 
 // leaseOver reports whether all that the machine may have held is gone.
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -269,6 +269,7 @@
 	}
 	c.nextPlan = now.Add(tuning.PlanEvery)
 	var calls []CloudCall
+	cutOff := c.reach(now)
 	in := c.planInput(now)
 	if now.Sub(c.started) < seconds(c.params.Cloud.ListLagS) && c.term > 1 {
 		// Machines that a predecessor rented last are not listed yet.
@@ -303,11 +304,18 @@
 		calls = append(calls, CloudCall{Op: CloudRent, Rent: r})
 	}
 	if c.releasing > 0 {
-		// One release at a time, with all that has come together meanwhile:
-		// the budget of calls is better spent on rentals.
+		// The next releases take all that has come together meanwhile: the
+		// budget of calls is better spent on rentals.
 		return calls
 	}
-	give := plan.Return
+	releases := max(1, int(c.params.Cloud.RPS*tuning.CloudShare*tuning.ReleasesUnderWay))
+	var give []string
+	for _, m := range c.order {
+		if !cutOff && c.pressing(now, m) {
+			give = append(give, m.id)
+		}
+	}
+	give = append(give, plan.Return...)
 	for _, m := range c.order {
 		if !m.releasing && c.useless(now, m) {
 			give = append(give, m.id)
@@ -315,18 +323,82 @@
 	}
 	var names []string
 	for _, id := range give {
-		if m := c.machines[id]; m != nil && !m.releasing && len(names) < tuning.MaxRelease {
+		if m := c.machines[id]; m != nil && !m.releasing && len(names) < tuning.MaxRelease*releases {
 			m.releasing = true
 			names = append(names, id)
 		}
 	}
-	if len(names) > 0 {
+	for some := range slices.Chunk(names, tuning.MaxRelease) {
 		c.releasing++
-		calls = append(calls, CloudCall{Op: CloudRelease, Release: names})
+		calls = append(calls, CloudCall{Op: CloudRelease, Release: some})
 	}
 	return calls
 }
 
+// reach looks at which machines known to be up can be heard. It notes the zones
+// that seem to be cut off: most of their machines are missed, while others are
+// heard; what is rented there could not report. It returns whether hardly any
+// machine is heard, so that it must be this node that has lost them.
+func (c *Controller) reach(now time.Time) (cutOff bool) {
+	type count struct{ heard, missed int }
+	zones := map[string]*count{}
+	var all count
+	for _, m := range c.order {
+		if !m.up {
+			continue
+		}
+		z := zones[m.zone]
+		if z == nil {
+			z = &count{}
+			zones[m.zone] = z
+		}
+		if c.missed(now, m) {
+			z.missed++
+			all.missed++
+		} else {
+			z.heard++
+			all.heard++
+		}
+	}
+	cutOff = float64(all.heard) < float64(all.heard+all.missed)*tuning.HeardShare
+	for zone, z := range zones {
+		switch {
+		case cutOff, z.heard == all.heard: // no other zone is better
+		case z.missed >= tuning.DarkMachines && float64(z.missed) >= float64(z.heard+z.missed)*tuning.DarkShare:
+			// Those missed may be released before long.
+			c.dark[zone] = now.Add(c.leaseTime())
+		case z.heard > 0:
+			delete(c.dark, zone)
+		}
+	}
+	return cutOff
+}
+
+// missed reports whether a machine known to be up has not been heard of for
+// long, or not since this term began.
+func (c *Controller) missed(now time.Time, m *machine) bool {
+	return m.up && c.silent(now, m) && now.Sub(c.started) > c.silence()
+}
+
+// pressing reports whether a machine that is missed may hold work that would be
+// late once its lease has run out, but not if it could start elsewhere now: the
+// release proves it gone. Silence mostly outlasts the lease, and then the work
+// on the machine is lost in any case. A successor would wait longest, as its
+// predecessor may be cut off together with the machine and go on answering it.
+func (c *Controller) pressing(now time.Time, m *machine) bool {
+	if m.releasing || !c.missed(now, m) {
+		return false
+	}
+	ends := m.answeredAt.Add(c.leaseTime())
+	if !m.confirmed {
+		ends = c.heirloom
+	}
+	return slices.ContainsFunc(m.attempts, func(a *attempt) bool {
+		slack, ok := c.slack(now, a.job)
+		return ok && slack < ends.Sub(now).Seconds() && a.wanted()
+	})
+}
+
 // useless reports whether a machine will do no more work: failed, never up,
 // silent for long, or emptied for a drain.
 func (c *Controller) useless(now time.Time, m *machine) bool {
@@ -345,7 +417,7 @@
 		// Heard, but never in this term: it doesn't get our answers. Whatever
 		// it may hold waits for the release, which proves it gone.
 		return true
-	case m.strangers >= tuning.Strangers && c.leaseOver(now, m) && now.Sub(m.strangeFrom) > seconds(c.params.Workers.ReportS*tuning.SilentReports):
+	case m.strangers >= tuning.Strangers && c.leaseOver(now, m) && now.Sub(m.strangeFrom) > c.silence():
 		// Only reports older than the newest: late copies, or a new worker that
 		// began anew. It must not be taken for the old one, and can't be told
 		// from copies, so the machine is replaced.
@@ -366,7 +438,7 @@
 		KeepIdle:    tuning.IdleKeep,
 		MaxMachines: c.operator.MaxMachines,
 		Refused: func(o provision.Offer) bool {
-			return now.Before(c.refused[o])
+			return now.Before(c.refused[o]) || now.Before(c.dark[o.Zone])
 		},
 	}
 	if c.operator.KeepIdleS > 0 {
@@ -384,6 +456,7 @@
 			Idle: len(m.attempts) == 0 && m.up && m.confirmed && now.Sub(m.rentedAt) >= tuning.MinimumBill, IdleFor: now.Sub(m.idleFrom), Price: c.price(m),
 		}
 		if !m.up {
+			p.Open = p.Open && !now.Before(c.dark[m.zone])
 			p.ReadyInS = max(0, t.BootS-now.Sub(m.rentedAt).Seconds())
 		}
 		for _, a := range m.attempts {
--- /dev/null
+++ b/internal/controller/reach_test.go
@@ -0,0 +1,168 @@
+package controller_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"switchshore.example/switchshore/internal/controller"
+	"switchshore.example/switchshore/wire"
+)
+
+// zoned is a leader of two zones with machines a0 to a9 and b0 to b9.
+type zoned struct {
+	*leader
+	gone map[string]bool // released
+}
+
+var zones = []string{"a", "b"}
+
+func newZoned(t *testing.T, term uint64, now time.Time, kept map[string]json.RawMessage) *zoned {
+	old := bigType
+	bigType.Zones = zones
+	t.Cleanup(func() { bigType = old })
+	z := &zoned{newLeader(t, term, now, kept), map[string]bool{}}
+	var rows []wire.ListedMachine
+	for _, zone := range zones {
+		for i := range 10 {
+			rows = append(rows, wire.ListedMachine{Name: fmt.Sprint(zone, i), Addr: "x:1", Type: "std-8", Zone: zone, State: wire.MachineRunning, AgeS: 100})
+		}
+	}
+	z.Listed(now, now, rows)
+	return z
+}
+
+// hear lets the machines of the zones report what they were told to start.
+func (z *zoned) hear(on map[string][]wire.TaskReport, zones ...string) {
+	for _, zone := range zones {
+		for i := range 10 {
+			id := fmt.Sprint(zone, i)
+			if z.gone[id] {
+				continue
+			}
+			z.seq++
+			a, _ := z.Report(z.now, &wire.Report{
+				Machine: id, Addr: "x:1", Type: "std-8", Zone: zone, Session: 1, Seq: z.seq, Token: z.Term(), Tasks: on[id],
+			}, true)
+			for _, c := range a.Commands {
+				if c.Op == wire.OpStart {
+					on[id] = append(on[id], wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning})
+				}
+			}
+		}
+	}
+}
+
+// run brings a job of 80 tasks, four to each machine, to run everywhere.
+func (z *zoned) run(j *wire.Job) map[string][]wire.TaskReport {
+	on := map[string][]wire.TaskReport{}
+	z.hear(on, zones...)
+	j.Tasks, j.Team = 80, "wide"
+	z.Submit(z.now, z.now, j, func(controller.Verdict) {})
+	for range 4 {
+		z.commit()
+		z.pass(time.Second)
+		z.hear(on, zones...)
+	}
+	z.commit()
+	z.hear(on, zones...)
+	z.hear(on, zones...)
+	return on
+}
+
+// after plays a time during which only the given zones are heard, and returns
+// what is released and the zones in which machines are rented.
+func (z *zoned) after(d time.Duration, on map[string][]wire.TaskReport, heard ...string) (released, rented []string) {
+	for range int(d / time.Second) {
+		z.pass(time.Second)
+		z.hear(on, heard...)
+		z.commit()
+		for _, c := range z.Plan(z.now) {
+			if c.Op == controller.CloudRent {
+				rented = append(rented, c.Rent.Zone)
+				z.Rented(z.now, c.Rent, nil)
+				continue
+			}
+			for _, id := range c.Release {
+				z.gone[id] = true
+			}
+			released = append(released, c.Release...)
+			z.Released(z.now, c.Release)
+		}
+	}
+	slices.Sort(released)
+	slices.Sort(rented)
+	return released, slices.Compact(rented)
+}
+
+func wide(t *testing.T) {
+	old := params
+	t.Cleanup(func() { params = old })
+	params.Teams = append(slices.Clone(params.Teams), old.Teams[0])
+	team := &params.Teams[len(params.Teams)-1]
+	team.Name, team.CPUs, team.CPUsMax = "wide", 500, 500
+}
+
+// pressingJob would be late if it waited for a lease of 15 s.
+func pressingJob() *wire.Job {
+	j := spec("job-1")
+	deadline := 50.0
+	j.DeadlineS = &deadline
+	return j
+}
+
+// TestPressingWorkLeavesACutZone: when a zone falls silent, its machines are
+// released where the work on them would be late by the end of their leases, so
+// that it can start again; nothing is rented in that zone. Patient work waits.
+func TestPressingWorkLeavesACutZone(t *testing.T) {
+	wide(t)
+	z := newZoned(t, 5, start, map[string]json.RawMessage{})
+	on := z.run(pressingJob())
+	released, rented := z.after(10*time.Second, on, "a")
+	if len(released) != 10 || released[0] != "b0" || released[9] != "b9" {
+		t.Errorf("released: %v", released)
+	}
+	z.hear(on, "a")
+	if _, more := z.after(3*time.Second, on, "a"); fmt.Sprint(append(rented, more...)) != "[a]" {
+		t.Errorf("rented in %v, then %v", rented, more)
+	}
+	if n := z.Counts(); n.Held != 40 || n.Ready != 40 {
+		t.Errorf("%+v", n)
+	}
+
+	patient := newZoned(t, 5, start, map[string]json.RawMessage{})
+	if released, _ := patient.after(10*time.Second, patient.run(spec("job-1")), "a"); len(released) != 0 {
+		t.Errorf("released with patient work: %v", released)
+	}
+}
+
+// TestSilenceOfAllIsOurs: a node that hears no machine is cut off itself, and
+// gives none of them up before the leases end.
+func TestSilenceOfAllIsOurs(t *testing.T) {
+	wide(t)
+	z := newZoned(t, 5, start, map[string]json.RawMessage{})
+	if released, _ := z.after(10*time.Second, z.run(pressingJob())); len(released) != 0 {
+		t.Errorf("released: %v", released)
+	}
+}
+
+// TestSuccessorLeavesACutZone: the same for machines that a new leader has never
+// heard, on which its predecessor may go on answering.
+func TestSuccessorLeavesACutZone(t *testing.T) {
+	wide(t)
+	z := newZoned(t, 5, start, map[string]json.RawMessage{})
+	on := z.run(pressingJob())
+	next := newZoned(t, 6, z.now, z.kept)
+	next.hear(on, "a")
+	if released, _ := next.after(7*time.Second, on, "a"); len(released) != 0 {
+		t.Errorf("released before they can have been missed: %v", released)
+	}
+	if released, _ := next.after(4*time.Second, on, "a"); len(released) != 10 {
+		t.Errorf("released: %v", released)
+	}
+	if n := next.Counts(); n.Held != 40 || n.Ready != 40 {
+		t.Errorf("%+v", n)
+	}
+}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -56,6 +56,51 @@
 	}
 }
 
+// TestBacklogOfAgedJobs: many jobs that have waited long and find no room cost
+// little, and the room there is goes to the work that fits into it.
+func TestBacklogOfAgedJobs(t *testing.T) {
+	var machines []*sched.Machine
+	for i := range 2000 {
+		m := vm(fmt.Sprintf("m%04d", i), 8)
+		m.Free = sched.Resources{}
+		m.Loads = []sched.Load{{Need: sched.Resources{CPUs: 8, MemoryGB: 100}, EndS: float64(i)}}
+		machines = append(machines, m)
+	}
+	free := vm("free", 8)
+	free.Free.CPUs = 2
+	machines = append(machines, free)
+	ready := []*sched.Ready{job("small", 0, 9)}
+	for i := range 200 {
+		r := job(fmt.Sprintf("big%03d", i), 2, 40)
+		r.Need.CPUs, r.AgedS = 8, 100+float64(i)
+		ready = append(ready, r)
+	}
+	got, work := sched.Pass(0, ready, machines, unlimited(), 200)
+	if fmt.Sprint(got) != "[{small free} {small free}]" {
+		t.Errorf("started %v", got)
+	}
+	if work.Scores > tuning.PassScores {
+		t.Errorf("%d pairs looked at", work.Scores)
+	}
+}
+
+// TestLongLineIsPlacedInParts: more jobs of one line than a pass can score still
+// get their places, some in each pass.
+func TestLongLineIsPlacedInParts(t *testing.T) {
+	var machines []*sched.Machine
+	for i := range 2000 {
+		machines = append(machines, vm(fmt.Sprintf("m%04d", i), 1))
+	}
+	var ready []*sched.Ready
+	for i := range 100 {
+		ready = append(ready, job(fmt.Sprintf("j%03d", i), 0, 5))
+	}
+	got, work := sched.Pass(0, ready, machines, unlimited(), 200)
+	if len(got) == 0 || !work.Unfinished || work.Scores > 2*tuning.PassScores {
+		t.Errorf("%d starts, %+v", len(got), work)
+	}
+}
+
 // TestRandomPasses: whatever the snapshot, no start breaks room, limits or
 // places, and no higher priority is passed over where it would fit.
 func TestRandomPasses(t *testing.T) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -100,6 +100,10 @@
 	// RentalsUnderWay bounds the rentals without an answer, in seconds of the
 	// leader's call budget: more would queue up in front of lists and releases.
 	RentalsUnderWay = 3.0
+	// ReleasesUnderWay bounds the releases without an answer in the same way:
+	// mostly one is enough for all, but when a zone with several hundred machines
+	// is given up, tasks wait for it.
+	ReleasesUnderWay = 0.5
 	// MinimumBill is what a deleted machine costs at least: returning it
 	// earlier saves nothing.
 	MinimumBill = 60 * time.Second
@@ -237,6 +241,15 @@
 	// SilentReports is how many report intervals without a report make a
 	// machine silent: no new starts there.
 	SilentReports = 2.5
+	// HeardShare is the part of the machines that must be heard for the others'
+	// silence to be taken for theirs and not for this node's: more than one zone
+	// of several may be cut off.
+	HeardShare = 0.2
+	// DarkShare and DarkMachines are the part and number of a zone's machines
+	// that must be silent for the zone to be taken for cut off: far more than fail
+	// by chance.
+	DarkShare    = 0.75
+	DarkMachines = 4
 	// UnheededAnswers is the number of answers in a row whose starts had no
 	// effect after which a machine takes no more work: one may be lost.
 	UnheededAnswers = 3
