Rent early for the work that keeps coming

Ruled out: refusals, boots overdue. Now the smoothed work of new jobs (75 s) is rented for as soon as work waits.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -74,6 +74,10 @@
 	releasing int
 	reserve   float64
 	reserved  time.Time
+	// inflow is the smoothed work of new jobs, in CPU seconds a second, as of
+	// inflowAt.
+	inflow   float64
+	inflowAt time.Time
 }
 
 type team struct {
@@ -314,6 +318,7 @@
 		if j.state == jobAccepting {
 			j.state = jobActive
 			j.fillReady()
+			c.flowIn(now, j)
 			c.changed = true
 		}
 		if j.state == jobActive {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -501,7 +501,7 @@
 		})
 	}
 	c.smooth(now, busy)
-	in.ReserveCPUs = c.reserve
+	in.ReserveCPUs, in.InflowCPUs = c.reserve, c.inflowNow(now)
 	return in
 }
 
@@ -570,6 +570,16 @@
 	c.reserved = now
 }
 
+// flowIn counts the work of a job that came at the given time into the inflow.
+func (c *Controller) flowIn(at time.Time, j *job) {
+	c.inflowAt, c.inflow = at, c.inflowNow(at)+float64(j.Tasks)*j.CPUs*c.estimate(j)/tuning.InflowDecay.Seconds()
+}
+
+// inflowNow is the CPUs that the work that keeps coming needs.
+func (c *Controller) inflowNow(now time.Time) float64 {
+	return c.inflow * math.Exp(-max(0, now.Sub(c.inflowAt).Seconds())/tuning.InflowDecay.Seconds())
+}
+
 // Rented takes in the answer of a rental: names, or none if refused.
 func (c *Controller) Rented(now time.Time, r wire.RentRequest, names []string) {
 	rent := c.renting[r.Request]
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -63,7 +63,9 @@
 	Refused func(Offer) bool
 	// Reserve is the number of CPUs wanted on top, by smoothed demand.
 	ReserveCPUs float64
-	KeepIdle    time.Duration
+	// InflowCPUs are needed for the work that keeps coming, by its recent rate.
+	InflowCPUs float64
+	KeepIdle   time.Duration
 	// MaxMachines caps the machines, 0 for no cap.
 	MaxMachines int
 }
@@ -102,11 +104,14 @@
 		types[t.Name] = t
 	}
 	bins := make([]bin, 0, len(in.Machines))
-	openCPUs := 0.0
+	openCPUs, freeCPUs := 0.0, 0.0
 	for _, m := range in.Machines {
 		bins = append(bins, bin{offer: m.Offer, total: m.Total, free: m.Free, busyS: m.BusyS, readyS: m.ReadyInS, open: m.Open})
 		if m.Open {
 			openCPUs += m.Total.CPUs
+			if m.ReadyInS == 0 {
+				freeCPUs += m.Free.CPUs
+			}
 		}
 	}
 	offers := offersByPrice(in.Types)
@@ -144,12 +149,38 @@
 			count++
 		}
 	}
+	in.steady(&plan, openCPUs, freeCPUs, count, offers, types)
 	// At several hundred machines something is rented nearly always, somewhere:
 	// machines that the demand has no use for go back all the same.
 	plan.Return = surplus(in, bins, openCPUs)
 	return plan
 }
 
+// steady rents for the work that keeps coming: while work waits that finds no
+// room, fewer CPUs than it needs on average would only let the backlog grow
+// until it presses, and then all of it would press at once: by a boot too late,
+// and with more and dearer machines than it takes.
+func (in *Input) steady(plan *Plan, openCPUs, freeCPUs float64, count int, offers []priced, types map[string]wire.MachineType) {
+	for o, n := range plan.Rent {
+		openCPUs += float64(n) * types[o.Type].CPUs
+	}
+	for _, d := range in.Demand {
+		waiting := float64(d.Tasks)*d.Need.CPUs - freeCPUs
+		freeCPUs = max(0, -waiting)
+		for waiting > 0 && openCPUs < in.InflowCPUs && (in.MaxMachines == 0 || count < in.MaxMachines) {
+			o, _, ok := cheapest(offers, d, types, in.Refused, plan.Rent)
+			if !ok {
+				break
+			}
+			plan.Rent[o]++
+			count++
+			cpus := types[o.Type].CPUs
+			waiting -= cpus
+			openCPUs += cpus
+		}
+	}
+}
+
 // slots is how many tasks of this shape fit side by side.
 func slots(room, need sched.Resources) int {
 	n := math.Inf(1)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -281,6 +281,9 @@
 	// would help in time; above, the forecast is worth little.
 	PlanHorizonMin = 20 * time.Second
 	PlanHorizonMax = 150 * time.Second
+	// InflowDecay is the time constant of the smoothed work of new jobs: some
+	// dozen jobs of each class, and about two boots.
+	InflowDecay = 75 * time.Second
 	// DemandDecay is the time constant of the smoothed demand that keeps
 	// machines through short lulls.
 	DemandDecay = 20 * time.Second
