A successor asks again for a page, not for everything; only cheap machines for steady work

Reading the stored state began anew after any page without an answer: with the state service 20 times slower and one answer in twenty 25 times as slow again, a quarter of the loads did.

--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -159,7 +159,8 @@
 // steady rents for the work that keeps coming: while work waits that finds no
 // room, fewer CPUs than it needs on average would only let the backlog grow
 // until it presses, and then all of it would press at once: by a boot too late,
-// and with more and dearer machines than it takes.
+// and with more and dearer machines than it takes. Only the cheapest offers are
+// rented so: dear ones are for what presses.
 func (in *Input) steady(plan *Plan, openCPUs, freeCPUs float64, count int, offers []priced, types map[string]wire.MachineType) {
 	for o, n := range plan.Rent {
 		openCPUs += float64(n) * types[o.Type].CPUs
@@ -168,8 +169,8 @@
 		waiting := float64(d.Tasks)*d.Need.CPUs - freeCPUs
 		freeCPUs = max(0, -waiting)
 		for waiting > 0 && openCPUs < in.InflowCPUs && (in.MaxMachines == 0 || count < in.MaxMachines) {
-			o, _, ok := cheapest(offers, d, types, in.Refused, plan.Rent)
-			if !ok {
+			o, price, ok := cheapest(offers, d, types, in.Refused, plan.Rent)
+			if !ok || price > offers[0].price {
 				break
 			}
 			plan.Rent[o]++
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -125,7 +125,9 @@
 	return item, err
 }
 
-// List reads all keys with a prefix, page by page.
+// List reads all keys with a prefix, page by page. A page without an answer is
+// asked for again: a successor that began anew each time would not get through
+// its pages while the state service is slow.
 func (c *Client) List(ctx context.Context, prefix string, each func(wire.Item) error) error {
 	after := ""
 	for {
@@ -134,7 +136,16 @@
 			q.Set("since", after)
 		}
 		var page wire.Items
-		if _, err := c.do(ctx, tuning.StoreTimeout, http.MethodGet, "/store?"+q.Encode(), nil, &page); err != nil {
+		_, err := c.do(ctx, tuning.StoreTimeout, http.MethodGet, "/store?"+q.Encode(), nil, &page)
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case errors.Is(err, ErrRefused), errors.Is(err, httpc.ErrNoAnswer):
+			if err := Pause(ctx, tuning.StoreRetry); err != nil {
+				return err
+			}
+			continue
+		case err != nil:
 			return err
 		}
 		for _, item := range page.Items {
