--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -138,7 +138,7 @@
 				// The dearer the offer, the longer the work waits for the
 				// machines there are.
 				waited = true
-				fill(d.HorizonS * price / offers[0].price)
+				fill(d.HorizonS * math.Sqrt(price/offers[0].price))
 				continue
 			}
 			t := total(types[o.Type])
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -276,7 +276,7 @@
 	PlanHorizon = 60 * time.Second
 	// PlanSlack is the part of a job's slack taken as its horizon; the rest
 	// is for boots and wrong estimates.
-	PlanSlack = 0.3
+	PlanSlack = 0.5
 	// PlanHorizonMin and PlanHorizonMax bound that horizon: below, no boot
 	// would help in time; above, the forecast is worth little.
 	PlanHorizonMin = 20 * time.Second
