--- a/internal/controller/grown_test.go
+++ b/internal/controller/grown_test.go
@@ -28,6 +28,7 @@
 	scores, worst          int // pairs looked at, in all and in one pass
 	cloud                  int // calls
 	submitted              map[string]time.Time
+	begun                  map[string]bool
 	waits                  []time.Duration
 }
 
@@ -47,7 +48,7 @@
 func newFleet(t *testing.T, machines int) *fleet {
 	f := &fleet{
 		leader: newLeader(t, 5, start, map[string]json.RawMessage{}), rng: rand.New(rand.NewPCG(1, 1)),
-		submitted: map[string]time.Time{}, byName: map[string]*fleetWorker{},
+		submitted: map[string]time.Time{}, begun: map[string]bool{}, byName: map[string]*fleetWorker{},
 	}
 	for i := range machines {
 		w := &fleetWorker{name: fmt.Sprintf("i-%06d", i)}
@@ -95,6 +96,7 @@
 			w.tasks = append(w.tasks, wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning})
 			f.starts++
 			job, _, _ := wire.SplitTask(c.Task)
+			f.begun[job] = true
 			lasts := time.Duration(5+f.rng.IntN(10)) * time.Second
 			if strings.HasPrefix(job, "job-9") { // the long ones of some tests
 				lasts *= 7
@@ -324,6 +326,15 @@
 		}
 		f.step()
 	}
+	waiting := 0
+	for id, at := range f.submitted {
+		if !f.begun[id] && f.now.Sub(at) > tuning.AgeAfter+30*time.Second {
+			waiting++
+		}
+	}
+	if waiting > 0 {
+		t.Errorf("%d jobs wait for long and have not begun", waiting)
+	}
 	n := f.Counts()
 	t.Logf("%d accepted, %d starts, %.2f changes and %d bytes each, %d pairs in one pass at most, %d calls to the cloud, %+v",
 		f.accepted, f.starts, float64(f.changes)/float64(f.starts), f.bytes/f.starts, f.worst, f.cloud, n)
