--- a/internal/provision/provision_test.go
+++ b/internal/provision/provision_test.go
@@ -32,3 +32,38 @@
 		t.Errorf("return %v", plan.Return)
 	}
 }
+
+// TestSteadyWork: while work waits that could begin in time on the machines
+// there are, machines of the cheapest offer are rented up to what keeps coming;
+// none of dearer ones, and none while all fits.
+func TestSteadyWork(t *testing.T) {
+	size := sched.Resources{CPUs: 8, MemoryGB: 32}
+	rent := func(inflow float64, tasks int, refused bool) map[Offer]int {
+		in := Input{
+			Types:   []wire.MachineType{{Name: "t", CPUs: 8, MemoryGB: 32, Price: 3, SpotPrice: 1, Zones: []string{"a"}}},
+			Demand:  []Demand{{Tasks: tasks, Need: sched.Resources{CPUs: 1, MemoryGB: 1}, EstimateS: 1, Spot: true, HorizonS: 100}},
+			Refused: func(o Offer) bool { return o.Spot && refused },
+		}
+		for range 10 {
+			in.Machines = append(in.Machines, Machine{Offer: Offer{Type: "t", Zone: "a"}, Total: size, Free: sched.Resources{CPUs: 1, MemoryGB: 9}, Open: true, Price: 3})
+		}
+		in.InflowCPUs = inflow
+		return Make(in).Rent
+	}
+	spot, dear := Offer{Type: "t", Zone: "a", Spot: true}, Offer{Type: "t", Zone: "a"}
+	for _, c := range []struct {
+		inflow  float64
+		tasks   int
+		refused bool
+		spot    int
+	}{
+		{inflow: 70, tasks: 50},
+		{inflow: 104, tasks: 50, spot: 3},
+		{inflow: 104, tasks: 10},
+		{inflow: 104, tasks: 50, refused: true},
+	} {
+		if got := rent(c.inflow, c.tasks, c.refused); got[spot] != c.spot || got[dear] != 0 {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/export_test.go
@@ -0,0 +1,7 @@
+package store
+
+// For tests of what a transaction's time does to the next one's.
+var (
+	Patience = (*Client).patience
+	Took     = (*Client).took
+)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -56,6 +57,10 @@
 	writes   *rate.Limiter
 	state    config.State
 	others   int
+
+	mu      sync.Mutex
+	leading bool
+	usual   time.Duration // smoothed time of a leader's transaction
 }
 
 var _ API = (*Client)(nil)
@@ -78,6 +83,9 @@
 func (c *Client) SetLeading(leading bool) {
 	share := tuning.StoreFollowerShare / float64(c.others)
 	writes := (1 - tuning.StoreWriteShare) / float64(c.others)
+	c.mu.Lock()
+	c.leading, c.usual = leading, 0
+	c.mu.Unlock()
 	if leading {
 		share, writes = tuning.StoreLeaderShare, tuning.StoreWriteShare
 	}
@@ -172,13 +180,44 @@
 	if err := c.writes.WaitN(ctx, len(txn.Then)); err != nil {
 		return res, fmt.Errorf("%w: %w", ErrRefused, err)
 	}
-	status, err := c.do(ctx, tuning.StoreTimeout, http.MethodPost, "/multi", txn, &res)
+	patience := c.patience()
+	sent := time.Now()
+	status, err := c.do(ctx, patience, http.MethodPost, "/multi", txn, &res)
+	c.took(time.Since(sent), err)
 	if err == nil && status == http.StatusConflict {
 		err = ErrConflict
 	}
 	return res, err
 }
 
+// patience is how long a leader waits for the answer to a transaction. Its
+// transactions go one after the other, and a repeat is fenced: waiting for one
+// that takes many times as long as usual only holds up all that users wait for.
+func (c *Client) patience() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.leading || c.usual == 0 {
+		return tuning.StoreTimeout
+	}
+	return min(max(tuning.StorePatience*c.usual, tuning.StorePatienceMin), tuning.StoreTimeout)
+}
+
+// took notes how long a transaction took; without an answer, the next one gets
+// twice the time.
+func (c *Client) took(d time.Duration, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case errors.Is(err, httpc.ErrNoAnswer):
+		c.usual = min(2*c.usual, tuning.StoreTimeout)
+	case err != nil:
+	case c.usual == 0:
+		c.usual = min(d, tuning.StoreTimeout)
+	default:
+		c.usual += (min(d, tuning.StoreTimeout) - c.usual) / 8
+	}
+}
+
 // Grant asks for a lease.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
 	var res wire.LeaseAnswer
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/httpc"
 	"switchshore.example/switchshore/internal/store"
+	"switchshore.example/switchshore/internal/tuning"
 	"switchshore.example/switchshore/wire"
 )
 
@@ -58,3 +61,30 @@
 		}
 	}
 }
+
+// TestLeaderDoesNotWaitForASlowAnswer: one transaction of a leader that takes
+// far longer than usual counts as unanswered soon, and the next gets more time;
+// a campaign waits for its full time.
+func TestLeaderDoesNotWaitForASlowAnswer(t *testing.T) {
+	c := store.NewClient("127.0.0.1:1", config.State{RPS: 1000, WriteRPS: 100, TxnOps: 10}, 1)
+	if got := store.Patience(c); got != tuning.StoreTimeout {
+		t.Errorf("a campaign: %v", got)
+	}
+	c.SetLeading(true)
+	for range 20 {
+		store.Took(c, 80*time.Millisecond, nil)
+	}
+	if got := store.Patience(c); got != tuning.StorePatience*80*time.Millisecond {
+		t.Errorf("a leader: %v", got)
+	}
+	store.Took(c, 0, httpc.ErrNoAnswer)
+	if got := store.Patience(c); got != 2*tuning.StorePatience*80*time.Millisecond {
+		t.Errorf("after one without an answer: %v", got)
+	}
+	for range 9 {
+		store.Took(c, 0, httpc.ErrNoAnswer)
+	}
+	if got := store.Patience(c); got != tuning.StoreTimeout {
+		t.Errorf("after many: %v", got)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -46,6 +46,11 @@
 	// StoreTimeout bounds a read or a transaction before its outcome counts
 	// as unknown.
 	StoreTimeout = 1500 * time.Millisecond
+	// StorePatience is the multiple of a transaction's usual time after which
+	// a leader sends it again, StorePatienceMin the shortest such time: "now and
+	// then a few hundred" milliseconds are no reason yet.
+	StorePatience    = 5
+	StorePatienceMin = 250 * time.Millisecond
 	// StoreRetry is the pause after a refusal (429, 503).
 	StoreRetry = 150 * time.Millisecond
 	// StoreLeaderShare and StoreFollowerShare divide the request budget: the
