None are given up when machines are missed all over: the node itself has lost them

A new leader with the reports of 2,000 machines waiting misses many of them; giving them up would add to its work. Now more than a quarter missed outside a silent zone means that silence is ours.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -269,7 +269,7 @@
 	}
 	c.nextPlan = now.Add(tuning.PlanEvery)
 	var calls []CloudCall
-	cutOff := c.reach(now)
+	lost := c.reach(now)
 	in := c.planInput(now)
 	if now.Sub(c.started) < seconds(c.params.Cloud.ListLagS) && c.term > 1 {
 		// Machines that a predecessor rented last are not listed yet.
@@ -311,7 +311,7 @@
 	releases := max(1, int(c.params.Cloud.RPS*tuning.CloudShare*tuning.ReleasesUnderWay))
 	var give []string
 	for _, m := range c.order {
-		if !cutOff && c.pressing(now, m) {
+		if !lost && c.pressing(now, m) {
 			give = append(give, m.id)
 		}
 	}
@@ -336,44 +336,53 @@
 }
 
 // reach looks at which machines known to be up can be heard. It notes the zones
-// that seem to be cut off: most of their machines are missed, while others are
-// heard; what is rented there could not report. It returns whether hardly any
-// machine is heard, so that it must be this node that has lost them.
-func (c *Controller) reach(now time.Time) (cutOff bool) {
-	type count struct{ heard, missed int }
-	zones := map[string]*count{}
-	var all count
+// that seem to be cut off: most of their machines are missed, while those
+// elsewhere are heard; what is rented there could not report. It returns whether
+// many others are missed, too: then it must be this node that has lost them, or
+// has not got round to their reports yet after a succession.
+func (c *Controller) reach(now time.Time) (lost bool) {
+	zones := map[string]*heard{}
+	all := &heard{}
 	for _, m := range c.order {
 		if !m.up {
 			continue
 		}
-		z := zones[m.zone]
-		if z == nil {
-			z = &count{}
-			zones[m.zone] = z
-		}
-		if c.missed(now, m) {
-			z.missed++
-			all.missed++
-		} else {
-			z.heard++
-			all.heard++
+		if zones[m.zone] == nil {
+			zones[m.zone] = &heard{}
 		}
+		missed := c.missed(now, m)
+		zones[m.zone].count(missed)
+		all.count(missed)
 	}
-	cutOff = float64(all.heard) < float64(all.heard+all.missed)*tuning.HeardShare
+	rest := *all
 	for zone, z := range zones {
+		others := heard{all.known - z.known, all.missed - z.missed}
 		switch {
-		case cutOff, z.heard == all.heard: // no other zone is better
-		case z.missed >= tuning.DarkMachines && float64(z.missed) >= float64(z.heard+z.missed)*tuning.DarkShare:
+		case z.missed >= tuning.DarkMachines && z.share() <= tuning.DarkShare && others.share() >= tuning.HeardShare:
 			// Those missed may be released before long.
 			c.dark[zone] = now.Add(c.leaseTime())
-		case z.heard > 0:
+			rest.known -= z.known
+			rest.missed -= z.missed
+		case z.known > z.missed:
 			delete(c.dark, zone)
 		}
 	}
-	return cutOff
+	return rest.share() < tuning.HeardShare
+}
+
+// heard counts machines known to be up and those of them that are missed.
+type heard struct{ known, missed int }
+
+func (h *heard) count(missed bool) {
+	h.known++
+	if missed {
+		h.missed++
+	}
 }
 
+// share is the part that is heard, 0 of none.
+func (h *heard) share() float64 { return float64(h.known-h.missed) / float64(max(h.known, 1)) }
+
 // missed reports whether a machine known to be up has not been heard of for
 // long, or not since this term began.
 func (c *Controller) missed(now time.Time, m *machine) bool {
--- a/internal/controller/reach_test.go
+++ b/internal/controller/reach_test.go
@@ -148,6 +148,20 @@
 	}
 }
 
+// TestSilenceEverywhereIsOurs: neither does one that has lost half of them, all
+// over the place.
+func TestSilenceEverywhereIsOurs(t *testing.T) {
+	wide(t)
+	z := newZoned(t, 5, start, map[string]json.RawMessage{})
+	on := z.run(pressingJob())
+	for i := range 5 {
+		z.gone[fmt.Sprint("a", 2*i)], z.gone[fmt.Sprint("b", 2*i)] = true, true
+	}
+	if released, _ := z.after(10*time.Second, on, zones...); len(released) != 0 {
+		t.Errorf("released: %v", released)
+	}
+}
+
 // TestSuccessorLeavesACutZone: the same for machines that a new leader has never
 // heard, on which its predecessor may go on answering.
 func TestSuccessorLeavesACutZone(t *testing.T) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -246,14 +246,14 @@
 	// SilentReports is how many report intervals without a report make a
 	// machine silent: no new starts there.
 	SilentReports = 2.5
-	// HeardShare is the part of the machines that must be heard for the others'
-	// silence to be taken for theirs and not for this node's: more than one zone
-	// of several may be cut off.
-	HeardShare = 0.2
-	// DarkShare and DarkMachines are the part and number of a zone's machines
-	// that must be silent for the zone to be taken for cut off: far more than fail
-	// by chance.
-	DarkShare    = 0.75
+	// HeardShare is the part of the machines outside a silent zone that must be
+	// heard for silence to be taken for the machines' own: hardly more than a
+	// tenth fail at once, but a new leader with all reports waiting misses many.
+	HeardShare = 0.75
+	// DarkShare is the part of a zone's machines that may still be heard, and
+	// DarkMachines the number that must be missed, for the zone to be taken for
+	// cut off: far more than fail by chance.
+	DarkShare    = 0.25
 	DarkMachines = 4
 	// UnheededAnswers is the number of answers in a row whose starts had no
 	// effect after which a machine takes no more work: one may be lost.
