Many small aged jobs leave the pass to others, too

Found by the test of a backlog with aged jobs of one task each: with few tasks in line behind busy machines their bound wasn't reached, and nine jobs used the pass up. Busy machines are looked at for half of a pass at most.

--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -151,7 +151,7 @@
 		j.claims = nil
 		if j.state == jobActive {
 			j.fillReady()
-			c.flowIn(j.since, j)
+			c.flowIn(now, j)
 		}
 		if j.state == jobActive && j.done.Full() {
 			j.state = jobDone
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -579,14 +579,18 @@
 	c.reserved = now
 }
 
-// flowIn counts the work of a job that came at the given time into the inflow.
-func (c *Controller) flowIn(at time.Time, j *job) {
-	c.inflowAt, c.inflow = at, c.inflowNow(at)+float64(j.Tasks)*j.CPUs*c.estimate(j)/tuning.InflowDecay.Seconds()
+// flowIn counts the work of a job into the inflow.
+func (c *Controller) flowIn(now time.Time, j *job) {
+	work := float64(j.Tasks) * j.CPUs * c.estimate(j) / tuning.InflowDecay.Seconds()
+	c.inflow, c.inflowAt = c.inflowNow(now)+work*faded(now.Sub(j.since)), now
 }
 
 // inflowNow is the CPUs that the work that keeps coming needs.
-func (c *Controller) inflowNow(now time.Time) float64 {
-	return c.inflow * math.Exp(-max(0, now.Sub(c.inflowAt).Seconds())/tuning.InflowDecay.Seconds())
+func (c *Controller) inflowNow(now time.Time) float64 { return c.inflow * faded(now.Sub(c.inflowAt)) }
+
+// faded is what is left of a smoothed rate after a time.
+func faded(d time.Duration) float64 {
+	return math.Exp(-max(0, d.Seconds()) / tuning.InflowDecay.Seconds())
 }
 
 // Rented takes in the answer of a rental: names, or none if refused.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -280,9 +280,9 @@
 // one is looked at only where it can win: if it has the image and no machine
 // with room has, or if no machine has room at all for the task, which then
 // waits in line so that smaller work doesn't take the room that it needs.
-// Once the lines behind busy machines are full none is looked at: at 2,000 full
-// machines each job that has aged would otherwise score them all to no avail,
-// and use up the pass before the work that finds room gets its turn.
+// Once the lines behind busy machines are full, or half of the pass is used up,
+// none is looked at: at 2,000 full machines each job that has aged would otherwise
+// score them all to no avail, and leave nothing for the work that finds room.
 func (p *pass) scoreAll(r *Ready) {
 	r.scored = true
 	r.choices = r.choices[:0]
@@ -298,7 +298,7 @@
 		}
 		return true
 	})
-	if none := len(r.choices) == 0; p.queued < tuning.PassQueues && (!cached && r.ImageGB > 0 || none) {
+	if none := len(r.choices) == 0; p.queued < tuning.PassQueues && p.work.Scores < tuning.PassScores/2 && (!cached && r.ImageGB > 0 || none) {
 		busy := p.machines
 		if !none {
 			busy = p.holdersOf(r.Image)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -69,18 +69,21 @@
 	free := vm("free", 8)
 	free.Free.CPUs = 2
 	machines = append(machines, free)
-	ready := []*sched.Ready{job("small", 0, 9)}
-	for i := range 200 {
-		r := job(fmt.Sprintf("big%03d", i), 2, 40)
-		r.Need.CPUs, r.AgedS = 8, 100+float64(i)
-		ready = append(ready, r)
-	}
-	got, work := sched.Pass(0, ready, machines, unlimited(), 200)
-	if fmt.Sprint(got) != "[{small free} {small free}]" {
-		t.Errorf("started %v", got)
-	}
-	if work.Scores > tuning.PassScores {
-		t.Errorf("%d pairs looked at", work.Scores)
+	for _, tasks := range []int{1, 40} {
+		ready := []*sched.Ready{job("small", 0, 9)}
+		for i := range 200 {
+			r := job(fmt.Sprintf("big%03d", i), 2, tasks)
+			r.Need.CPUs, r.AgedS = 8, 100+float64(i)
+			ready = append(ready, r)
+		}
+		free.Free.CPUs, free.Loads = 2, nil
+		got, work := sched.Pass(0, ready, machines, unlimited(), 200)
+		if fmt.Sprint(got) != "[{small free} {small free}]" {
+			t.Errorf("aged jobs of %d tasks: started %v", tasks, got)
+		}
+		if work.Scores > tuning.PassScores {
+			t.Errorf("aged jobs of %d tasks: %d pairs looked at", tasks, work.Scores)
+		}
 	}
 }
 
