--- a/internal/controller/grown_test.go
+++ b/internal/controller/grown_test.go
@@ -296,9 +296,9 @@
 				j.Tasks, j.CPUs, j.MemoryGB, j.EstimateS = 30+f.rng.IntN(60), 4, 14, 10
 				deadline := 60.0
 				j.DeadlineS = &deadline
-			case tick%15 == 0 && k == 5 || tick == 0:
+			case tick%3 == 0 && k == 5 || tick == 0:
 				j = spec(fmt.Sprintf("job-9%05d", number))
-				j.Tasks, j.CPUs, j.MemoryGB, j.EstimateS, j.Priority = 100+f.rng.IntN(600), 8, 28, 70, wire.PriorityNormal
+				j.Tasks, j.CPUs, j.MemoryGB, j.EstimateS, j.Priority = 50+f.rng.IntN(150), 8, 28, 70, wire.PriorityNormal
 				j.CheckpointS, j.SaveS = 20, 4
 			default:
 				continue
--- a/internal/controller/reach_test.go
+++ b/internal/controller/reach_test.go
@@ -105,14 +105,16 @@
 	team.Name, team.CPUs, team.CPUsMax = "wide", 500, 500
 }
 
-// pressingJob would be late if it waited for a lease of 15 s.
-func pressingJob() *wire.Job {
+// dueIn is a job with a deadline.
+func dueIn(seconds float64) *wire.Job {
 	j := spec("job-1")
-	deadline := 50.0
-	j.DeadlineS = &deadline
+	j.DeadlineS = &seconds
 	return j
 }
 
+// pressingJob would be late if it waited for a lease of 15 s.
+func pressingJob() *wire.Job { return dueIn(50) }
+
 // TestPressingWorkLeavesACutZone: when a zone falls silent, its machines are
 // released where the work on them would be late by the end of their leases, so
 // that it can start again; nothing is rented in that zone. Patient work waits.
@@ -132,8 +134,20 @@
 		t.Errorf("%+v", n)
 	}
 
+	// Machines that boot in that zone are no room for the work either.
+	booting := newZoned(t, 5, start, map[string]json.RawMessage{})
+	on = booting.run(pressingJob())
+	var rows []wire.ListedMachine
+	for i := range 40 {
+		rows = append(rows, wire.ListedMachine{Name: fmt.Sprint("b9", i), Addr: "x:1", Type: "std-8", Zone: "b", State: wire.MachineBooting})
+	}
+	booting.Listed(booting.now, booting.now, rows)
+	if _, rented := booting.after(10*time.Second, on, "a"); fmt.Sprint(rented) != "[a]" {
+		t.Errorf("with machines booting in the zone: rented in %v", rented)
+	}
+
 	patient := newZoned(t, 5, start, map[string]json.RawMessage{})
-	if released, _ := patient.after(10*time.Second, patient.run(spec("job-1")), "a"); len(released) != 0 {
+	if released, _ := patient.after(10*time.Second, patient.run(dueIn(500)), "a"); len(released) != 0 {
 		t.Errorf("released with patient work: %v", released)
 	}
 }
