--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -573,7 +573,7 @@
 	if c.reserved.IsZero() {
 		c.reserve = cpus
 	} else {
-		w := 1 - math.Exp(-now.Sub(c.reserved).Seconds()/tuning.DemandDecay.Seconds())
+		w := 1 - faded(now.Sub(c.reserved), tuning.DemandDecay)
 		c.reserve += (cpus - c.reserve) * w
 	}
 	c.reserved = now
@@ -582,15 +582,17 @@
 // flowIn counts the work of a job into the inflow.
 func (c *Controller) flowIn(now time.Time, j *job) {
 	work := float64(j.Tasks) * j.CPUs * c.estimate(j) / tuning.InflowDecay.Seconds()
-	c.inflow, c.inflowAt = c.inflowNow(now)+work*faded(now.Sub(j.since)), now
+	c.inflow, c.inflowAt = c.inflowNow(now)+work*faded(now.Sub(j.since), tuning.InflowDecay), now
 }
 
 // inflowNow is the CPUs that the work that keeps coming needs.
-func (c *Controller) inflowNow(now time.Time) float64 { return c.inflow * faded(now.Sub(c.inflowAt)) }
+func (c *Controller) inflowNow(now time.Time) float64 {
+	return c.inflow * faded(now.Sub(c.inflowAt), tuning.InflowDecay)
+}
 
-// faded is what is left of a smoothed rate after a time.
-func faded(d time.Duration) float64 {
-	return math.Exp(-max(0, d.Seconds()) / tuning.InflowDecay.Seconds())
+// faded is the weight that a smoothed value has after a time.
+func faded(d, decay time.Duration) float64 {
+	return math.Exp(-max(0, d.Seconds()) / decay.Seconds())
 }
 
 // Rented takes in the answer of a rental: names, or none if refused.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -205,6 +205,7 @@
 // took notes how long a transaction took; without an answer, the next one gets
 // twice the time.
 func (c *Client) took(d time.Duration, err error) {
+	d = min(d, tuning.StoreTimeout)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -212,9 +213,9 @@
 		c.usual = min(2*c.usual, tuning.StoreTimeout)
 	case err != nil:
 	case c.usual == 0:
-		c.usual = min(d, tuning.StoreTimeout)
+		c.usual = d
 	default:
-		c.usual += (min(d, tuning.StoreTimeout) - c.usual) / 8
+		c.usual += (d - c.usual) / tuning.StoreUsual
 	}
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -51,6 +51,9 @@
 	// then a few hundred" milliseconds are no reason yet.
 	StorePatience    = 5
 	StorePatienceMin = 250 * time.Millisecond
+	// StoreUsual is the number of transactions over which their usual time is
+	// smoothed: about a second of them.
+	StoreUsual = 8
 	// StoreRetry is the pause after a refusal (429, 503).
 	StoreRetry = 150 * time.Millisecond
 	// StoreLeaderShare and StoreFollowerShare divide the request budget: the
