--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -135,7 +135,7 @@
 		refuse(rc, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
-	s.do(rc, peer.Call{Op: peer.OpSubmit, Job: job.ID, Spec: job})
+	s.do(rc, peer.Submit(job))
 }
 
 // report takes a worker's report. Workers beyond the sockets that they may
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -82,6 +82,36 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next holds the limits that the state service will have from some moment
+	// on, without notice; what is left out stays.
+	Next StateNext `toml:"next"`
+}
+
+// StateNext are limits of the state service to come.
+type StateNext struct {
+	RPS      *float64 `toml:"rps"`
+	WriteRPS *float64 `toml:"write_rps"`
+	ValueKB  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
+// Tightest are the limits that hold before and after those to come: nobody is
+// told when they change, and a request above them is refused.
+func (s State) Tightest() State {
+	next := s.Next
+	return State{
+		RPS:      tighter(s.RPS, next.RPS),
+		WriteRPS: tighter(s.WriteRPS, next.WriteRPS),
+		ValueKB:  tighter(s.ValueKB, next.ValueKB),
+		TxnOps:   tighter(s.TxnOps, next.TxnOps),
+	}
+}
+
+func tighter[N int | float64](now N, next *N) N {
+	if next == nil {
+		return now
+	}
+	return min(now, *next)
 }
 
 // Cloud are the limits of the cloud.
@@ -120,6 +150,7 @@
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	c.Params.State = c.Params.State.Tightest()
 	return c, nil
 }
 
@@ -162,10 +193,15 @@
 	positive(p.Workers.ReportS, "facts.workers.report_s")
 	positive(p.Workers.LeaseS, "facts.workers.lease_s")
 	need(p.Workers.CancelS > p.Workers.LeaseS, "facts.workers.cancel_s", "must be above lease_s")
-	positive(p.State.RPS, "facts.state.rps")
-	positive(p.State.WriteRPS, "facts.state.write_rps")
-	positive(p.State.ValueKB, "facts.state.value_kb")
-	need(p.State.TxnOps >= 4, "facts.state.txn_ops", "must be at least 4")
+	for _, limits := range []struct {
+		State
+		field string
+	}{{p.State, "facts.state"}, {p.State.Tightest(), "facts.state.next"}} {
+		positive(limits.RPS, limits.field+".rps")
+		positive(limits.WriteRPS, limits.field+".write_rps")
+		need(limits.ValueKB >= 1, limits.field+".value_kb", "must be at least 1")
+		need(limits.TxnOps >= 4, limits.field+".txn_ops", "must be at least 4")
+	}
 	positive(p.Cloud.RPS, "facts.cloud.rps")
 	need(p.Cloud.ListLagS >= 0, "facts.cloud.list_lag_s", "must not be negative")
 	need(p.Limits.MemoryMB >= 0, "facts.resources.memory_mb", "must not be negative")
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,6 +7,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -35,41 +37,51 @@
 	heirloom time.Time
 	started  time.Time
 
-	jobs     map[string]*job
-	finals   map[string]final // ended jobs, for good
-	active   int              // unfinished tasks, for the memory bound
-	teams    map[string]*team
-	machines map[string]*machine
-	order    []*machine      // the machines by name
-	released map[string]bool // names never to be taken in again
-	types    map[string]wire.MachineType
-	offers   []wire.MachineType
+	jobs   map[string]*job
+	finals map[string]final // ended jobs, for good
+	active int              // unfinished tasks, for the memory bound
+	// live are the unfinished jobs that need no other any more.
+	live map[*job]struct{}
+	// dependents are the jobs that need one that is not over, by its id.
+	dependents map[string][]*job
+	freed      []*job // a job that they need is done
+	doomed     []*job // a job that they need was cancelled
+	reweighed  []*job // what others expect of them may have changed
+	teams      map[string]*team
+	machines   map[string]*machine
+	order      []*machine      // the machines by name
+	released   map[string]bool // names never to be taken in again
+	types      map[string]wire.MachineType
+	offers     []wire.MachineType
 	// catalogue is the stored form of the types.
 	catalogue json.RawMessage
 
 	urgent  writeQueue  // what users wait for
+	chain   writeQueue  // final states that follow from those of other jobs
 	bulk    writeQueue  // what nobody waits for
 	unsaved []*startLog // records of starts to be written
 	logs    uint64      // start records so far
 	// loadedLogs are a predecessor's start records while they are loaded.
 	loadedLogs []*startLog
-	dirty      map[*job]time.Time // jobs with unwritten completions, since when
-	ratio      map[string]float64 // run time over estimate, by class
-	refused    map[provision.Offer]time.Time
-	dark       map[string]time.Time // zones that seem to be cut off, until then
-	renting    map[string]*rental
-	lists      uint64
-	nextPlan   time.Time
-	lastPass   time.Time
-	nextPass   time.Time // no sooner
-	lastLook   time.Time // for leases that ran out
-	lastStop   time.Time // for room made by stopping tasks
-	lastMove   time.Time // for machines to be emptied
-	changed    bool
-	scores     int        // pairs of job and machine looked at, for the logs
-	round      uint64     // number of task lists taken in
-	calls      []*machine // that may have something to be told directly
-	calling    int        // direct calls under way
+	// pieces are parts of job records while those are loaded, by key.
+	pieces   map[string][]byte
+	dirty    map[*job]time.Time // jobs with unwritten completions, since when
+	ratio    map[string]float64 // run time over estimate, by class
+	refused  map[provision.Offer]time.Time
+	dark     map[string]time.Time // zones that seem to be cut off, until then
+	renting  map[string]*rental
+	lists    uint64
+	nextPlan time.Time
+	lastPass time.Time
+	nextPass time.Time // no sooner
+	lastLook time.Time // for leases that ran out
+	lastStop time.Time // for room made by stopping tasks
+	lastMove time.Time // for machines to be emptied
+	changed  bool
+	scores   int        // pairs of job and machine looked at, for the logs
+	round    uint64     // number of task lists taken in
+	calls    []*machine // that may have something to be told directly
+	calling  int        // direct calls under way
 	// releasing is the number of releases without an answer.
 	releasing int
 	reserve   float64
@@ -96,6 +108,8 @@
 		started:  now,
 		jobs:     map[string]*job{},
 		finals:   map[string]final{},
+		live:     map[*job]struct{}{},
+		pieces:   map[string][]byte{},
 		teams:    map[string]*team{},
 		machines: map[string]*machine{},
 		released: map[string]bool{},
@@ -105,6 +119,8 @@
 		refused:  map[provision.Offer]time.Time{},
 		dark:     map[string]time.Time{},
 		renting:  map[string]*rental{},
+
+		dependents: map[string][]*job{},
 	}
 	for _, t := range p.Teams {
 		c.teams[t.Name] = &team{Team: t}
@@ -182,10 +198,20 @@
 
 type job struct {
 	wire.Job
-	at      int64 // submission, time of day in milliseconds
-	since   time.Time
-	level   int
-	state   jobState
+	at        int64 // submission, time of day in milliseconds
+	submitted time.Time
+	// since is when its waits begin: when it was submitted, or the last job
+	// that it needs was done.
+	since time.Time
+	// level is its priority, or that of a job that needs it, if higher.
+	level int
+	path  path
+	state jobState
+	open  int // jobs that it needs and that are not over
+	// doomed: a job that it needs was cancelled, and so will it be.
+	doomed  bool
+	tangled bool // its record can't be right: it needs itself
+	inLine  bool // among those to be reweighed
 	stored  bool // the acceptance is durable
 	ended   bool // the final state is durable
 	done    *ranges.Set
@@ -208,33 +234,26 @@
 	// startAt is when a task of the job was last placed, or when the job came.
 	startAt time.Time
 	waiting []func(ok bool) // told when the acceptance is durable
-	chunks  map[int]bool    // done-set chunks to be written
-}
-
-// jobRecord is the stored form of a job.
-type jobRecord struct {
-	Job wire.Job `json:"job"`
-	At  int64    `json:"at"`
+	chunks  map[int]bool    // parts of the done-set to be written
+	// keys are the records of the job beside its own.
+	keys map[string]bool
 }
 
-const keyTypes = "c/types"
-
-func keyJob(id string) string   { return "j/" + id }
-func keyFinal(id string) string { return "f/" + id }
-
 func newJob(spec wire.Job, at int64, since time.Time) *job {
 	j := &job{
-		Job:     spec,
-		at:      at,
-		since:   since,
-		startAt: since,
-		level:   wire.Level(spec.Priority),
-		done:    ranges.New(spec.Tasks),
-		holders: map[int32]int8{},
-		inZone:  map[string]int{},
-		chunks:  map[int]bool{},
-		need:    sched.Resources{CPUs: spec.CPUs, GPUs: spec.GPUs, MemoryGB: spec.MemoryGB},
-	}
+		Job:       spec,
+		at:        at,
+		submitted: since,
+		since:     since,
+		startAt:   since,
+		done:      ranges.New(spec.Tasks),
+		holders:   map[int32]int8{},
+		inZone:    map[string]int{},
+		chunks:    map[int]bool{},
+		keys:      map[string]bool{},
+		need:      sched.Resources{CPUs: spec.CPUs, GPUs: spec.GPUs, MemoryGB: spec.MemoryGB},
+	}
+	j.level, j.path = j.own()
 	return j
 }
 
@@ -282,7 +301,7 @@
 func (c *Controller) Submit(now time.Time, wall time.Time, spec *wire.Job, then func(Verdict)) {
 	// Until the acceptance is durable nobody may be told of the job, not even
 	// once its cancellation has been asked for.
-	if j := c.jobs[spec.ID]; j != nil && !j.stored {
+	if j := c.jobs[spec.ID]; j != nil && j.undecided() {
 		j.waiting = append(j.waiting, func(ok bool) { then(c.accepted(ok, spec.ID, 200)) })
 		return
 	}
@@ -298,6 +317,10 @@
 		then(Verdict{Status: 422, Why: why})
 		return
 	}
+	if status, why := c.unknownNeed(spec); status != 0 {
+		then(Verdict{Status: status, Why: why})
+		return
+	}
 	if c.active+spec.Tasks > tuning.ActiveTasks || c.urgent.len() >= c.maxUrgent() {
 		// More than the state service takes while users wait for an answer:
 		// waiting in line would only end in a timeout.
@@ -305,21 +328,18 @@
 		return
 	}
 	j := newJob(*spec, wall.UnixMilli(), now)
-	record, err := json.Marshal(jobRecord{Job: j.Job, At: j.at})
-	if err != nil || float64(len(record)) > c.params.State.ValueKB*1024 {
-		then(Verdict{Status: 400, Why: "job description too large"})
-		return
-	}
 	c.jobs[j.ID] = j
 	c.active += j.Tasks
+	c.link(j)
+	for _, need := range j.Needs {
+		c.reweighSoon(c.jobs[need])
+	}
 	j.waiting = append(j.waiting, func(ok bool) { then(c.accepted(ok, j.ID, 201)) })
-	c.urgent.put(keyJob(j.ID), record, func() {
+	c.store(j, func() {
 		j.stored = true
 		if j.state == jobAccepting {
 			j.state = jobActive
-			j.fillReady()
-			c.flowIn(now, j)
-			c.changed = true
+			c.begin(now, j)
 		}
 		if j.state == jobActive {
 			for _, f := range j.waiting {
@@ -370,11 +390,16 @@
 	return sched.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
 }
 
-// Query tells a job's state. A job whose acceptance is not durable gets 503:
-// whether it exists is not decided.
+// undecided reports whether a job's state can't be told now: its acceptance is
+// not durable, so whether it exists is not decided, or it is being cancelled
+// together with one that it needs. However long that takes to become durable,
+// nobody hears any more that the job waits or runs.
+func (j *job) undecided() bool { return !j.stored || j.doomed && !j.ended }
+
+// Query tells a job's state, 503 while it can't be told.
 func (c *Controller) Query(id string) Verdict {
-	if j := c.jobs[id]; j != nil && !j.stored {
-		return Verdict{Status: 503, Why: "being accepted"}
+	if j := c.jobs[id]; j != nil && j.undecided() {
+		return Verdict{Status: 503, Why: "being accepted or cancelled"}
 	}
 	v, _ := c.verdict(id)
 	return v
@@ -398,20 +423,29 @@
 		// A submission still waiting hears of its acceptance, as that is
 		// written first, or of the end.
 		j.waiting = append(j.waiting, func(ok bool) { then(c.accepted(ok, id, 200)) })
-		j.state = jobCancelled
-		j.ready = nil
-		delete(c.dirty, j)
-		c.end(j, finalCancelled)
+		c.end(j, jobCancelled, &c.urgent)
 	}
 }
 
-// end writes a job's final state; only then is it told to anyone.
-func (c *Controller) end(j *job, how byte) {
-	f := final{how, int32(j.done.Len())}
-	c.urgent.put(keyFinal(j.ID), f.value(), func() {
+// end decides how a job ends and writes its final state; only then is it told
+// to anyone, and followed by what it means for the jobs that need this one.
+func (c *Controller) end(j *job, state jobState, queue *writeQueue) {
+	j.state = state
+	j.ready = nil
+	delete(c.dirty, j)
+	delete(c.live, j)
+	f := final{finalDone, int32(j.done.Len())}
+	if state == jobCancelled {
+		f.how = finalCancelled
+		for _, need := range j.Needs {
+			c.reweighSoon(c.jobs[need])
+		}
+	}
+	queue.put(keyFinal(j.ID), f.value(), func() {
 		c.finals[j.ID] = f
 		c.active -= j.Tasks
 		j.ended = true
+		c.settle(j.ID, f)
 		for _, f := range j.waiting {
 			f(true)
 		}
@@ -429,10 +463,8 @@
 	delete(c.jobs, j.ID)
 	delete(c.dirty, j)
 	c.bulk.del(keyJob(j.ID))
-	for k := 0; k*tuning.DoneChunk < j.Tasks; k++ {
-		if j.done.Format(k*tuning.DoneChunk, (k+1)*tuning.DoneChunk) != "" {
-			c.bulk.del(keyDone(j.ID, k))
-		}
+	for _, key := range slices.Sorted(maps.Keys(j.keys)) {
+		c.bulk.del(key)
 	}
 }
 
@@ -446,13 +478,10 @@
 		return
 	}
 	if j.done.Full() {
-		j.state = jobDone
-		j.ready = nil
-		delete(c.dirty, j)
-		c.end(j, finalDone)
+		c.end(j, jobDone, &c.urgent)
 		return
 	}
-	j.chunks[int(index)/tuning.DoneChunk] = true
+	j.chunks[int(index)/c.doneChunk()] = true
 	if _, ok := c.dirty[j]; !ok {
 		c.dirty[j] = now
 	}
@@ -475,10 +504,10 @@
 		}
 		sort.Ints(ks)
 		for _, k := range ks {
-			text := j.done.Format(k*tuning.DoneChunk, (k+1)*tuning.DoneChunk)
+			key, text := c.doneRecord(j, k)
 			value, _ := json.Marshal(text)
-			covered := text
-			c.bulk.put(keyDone(j.ID, k), value, func() { c.durable(j, covered) })
+			j.keys[key] = true
+			c.bulk.put(key, value, func() { c.durable(j, text) })
 		}
 		clear(j.chunks)
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -70,7 +70,7 @@
 				l.kept[w.Put] = w.Value
 			}
 		}
-		l.Committed(b)
+		l.Committed(b, nil)
 	}
 }
 
@@ -909,7 +909,7 @@
 					t.Fatalf("pad %d: %s deleted before what took over from it", pad, w.Delete)
 				}
 			}
-			next.Committed(b)
+			next.Committed(b, nil)
 		}
 		if !taken {
 			t.Fatal("the task seen was not recorded")
--- a/internal/controller/grown_test.go
+++ b/internal/controller/grown_test.go
@@ -200,7 +200,7 @@
 		if f.bytes += total; total > 64<<10 {
 			f.t.Fatalf("a transaction of %d bytes", total)
 		}
-		f.Committed(b)
+		f.Committed(b, nil)
 	}
 }
 
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,10 +13,11 @@
 )
 
 // Prefixes of the stored records, in the order in which they must be loaded:
-// jobs, their completions, the final states, then the starts, oldest first.
-// Below "m/" earlier versions kept one record a machine. The catalogue comes
-// first: a successor that waited for the cloud's would refuse submissions.
-var Prefixes = []string{keyTypes, "j/", "d/", "f/", "m/", "s/"}
+// pieces of jobs, the jobs, their completions, the final states, then the starts,
+// oldest first. Below "m/" earlier versions kept one record a machine. The
+// catalogue comes first: a successor that waited for the cloud's would refuse
+// submissions.
+var Prefixes = []string{keyTypes, "n/", "j/", "d/", "f/", "m/", "s/"}
 
 // Load takes in one stored record; wall and now relate the time of day in
 // the records to the steady clock.
@@ -24,10 +27,16 @@
 		return nil
 	}
 	err := c.load(now, wall, kind, id, item.Value)
-	if err != nil {
-		return fmt.Errorf("record %s: %w", item.Key, err)
+	if err == nil {
+		return nil
 	}
-	return nil
+	if kind == "c" || kind == "d" {
+		// The cloud tells the catalogue again, and tasks without a completion
+		// run again: no reason to serve nobody.
+		c.log.Error().Err(err).Str("key", item.Key).Msg("damaged record, left out")
+		return nil
+	}
+	return fmt.Errorf("%w %s: %w", ErrDamaged, item.Key, err)
 }
 
 func (c *Controller) load(now, wall time.Time, kind, id string, value json.RawMessage) error {
@@ -39,26 +48,28 @@
 		}
 		c.catalogue = value // as stored: nothing to be written
 		c.SetTypes(types)
-	case "j":
-		var rec jobRecord
-		if err := json.Unmarshal(value, &rec); err != nil {
+	case "n":
+		var piece []byte
+		if err := json.Unmarshal(value, &piece); err != nil {
 			return err
 		}
-		age := max(0, wall.Sub(time.UnixMilli(rec.At)))
-		j := newJob(rec.Job, rec.At, now.Add(-age))
-		j.state, j.stored = jobActive, true
-		c.jobs[id] = j
-		c.active += j.Tasks
+		c.pieces["n/"+id] = piece
+	case "j":
+		return c.loadJob(now, wall, id, value)
 	case "d":
-		var text string
-		if err := json.Unmarshal(value, &text); err != nil {
-			return err
-		}
+		key := "d/" + id
 		id, _, _ := strings.Cut(id, "/")
 		j := c.jobs[id]
 		if j == nil {
+			// Left by a leader of an earlier version, which doesn't know of it.
+			c.bulk.del(key)
 			return nil
 		}
+		j.keys[key] = true
+		var text string
+		if err := json.Unmarshal(value, &text); err != nil {
+			return err
+		}
 		if j.durable == nil {
 			j.durable = ranges.New(j.Tasks)
 		}
@@ -147,18 +158,29 @@
 		}
 	}
 	c.loadedLogs = nil
-	for _, j := range c.sortedJobs() {
+	for _, key := range slices.Sorted(maps.Keys(c.pieces)) {
+		// Of a job that was not accepted, or is over.
+		c.bulk.del(key)
+	}
+	c.pieces = nil
+	jobs := c.sortedJobs()
+	c.linkAll(jobs)
+	for _, j := range jobs {
 		j.claims = nil
-		if j.state == jobActive {
-			j.fillReady()
-			c.flowIn(now, j)
+		if len(j.Needs) > 0 {
+			// When the last job that it needs was done is not stored.
+			j.since, j.startAt = now, now
 		}
 		if j.state == jobActive && j.done.Full() {
-			j.state = jobDone
-			c.end(j, finalDone)
+			c.end(j, jobDone, &c.urgent)
 		}
+		c.begin(now, j)
 		c.tidy(j)
 	}
+	for len(c.doomed) > 0 {
+		// All of them, before anyone is told anything.
+		c.follow(now)
+	}
 	c.changed = true
 	c.log.Info().Int("jobs", len(c.jobs)).Int("ended", len(c.finals)).Int("machines", len(c.machines)).Msg("loaded")
 }
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -189,7 +189,7 @@
 	if len(types) == 0 {
 		return
 	}
-	if value, err := json.Marshal(types); err == nil && float64(len(value)) <= c.params.State.ValueKB*1024 && !bytes.Equal(value, c.catalogue) {
+	if value, err := json.Marshal(types); err == nil && len(value) <= c.valueLimit() && !bytes.Equal(value, c.catalogue) {
 		c.catalogue = value
 		c.bulk.put(keyTypes, value, nil)
 	}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -18,6 +18,7 @@
 // Tick does what time and changes have made due: leases that ran out,
 // completions to write and, with authority, a placement pass.
 func (c *Controller) Tick(now time.Time, authority bool) {
+	c.follow(now)
 	c.flushDone(now)
 	if now.Sub(c.lastLook) >= tuning.TickEvery {
 		c.lastLook = now
@@ -154,13 +155,11 @@
 	return tuning.LateSlack - now.Sub(j.since).Seconds()
 }
 
-// activeJobs lists the unfinished jobs, oldest first.
+// activeJobs lists the unfinished jobs that wait for no others, oldest first.
 func (c *Controller) activeJobs() []*job {
-	var list []*job
-	for _, j := range c.jobs {
-		if j.state == jobActive {
-			list = append(list, j)
-		}
+	list := make([]*job, 0, len(c.live))
+	for j := range c.live {
+		list = append(list, j)
 	}
 	sort.Slice(list, func(i, k int) bool {
 		if !list[i].since.Equal(list[k].since) {
@@ -543,26 +542,26 @@
 }
 
 // slack is the time that may pass before a job can no longer be in time, by
-// its deadline and its class's objectives: of those it can still meet the
+// the deadline on its path and the objectives: of those it can still meet the
 // nearest. It is false if there is none.
 func (c *Controller) slack(now time.Time, j *job) (float64, bool) {
-	spent := now.Sub(j.since).Seconds() + c.rest(j)
+	rest := c.rest(j)
 	best, found := 0.0, false
-	due := func(at float64) {
-		if s := at - spent; s >= 0 && (!found || s < best) {
+	due := func(since time.Time, after float64) {
+		if s := after - now.Sub(since).Seconds() - rest; s >= 0 && (!found || s < best) {
 			best, found = s, true
 		}
 	}
-	if j.DeadlineS != nil {
-		due(*j.DeadlineS)
+	last, left := j.path.last, j.path.left.Seconds()
+	if last != nil {
+		due(last.submitted, *last.DeadlineS-left)
 	}
 	for _, o := range c.params.Objectives {
 		switch {
-		case o.Class != j.Class:
-		case o.Kind == "deadline" && j.DeadlineS != nil:
-			due(*j.DeadlineS * max(o.Times, 1))
-		case o.Kind == "finished" && o.WithinS > 0:
-			due(o.WithinS)
+		case o.Kind == "deadline" && last != nil && o.Class == last.Class:
+			due(last.submitted, *last.DeadlineS*max(o.Times, 1)-left)
+		case o.Kind == "finished" && o.WithinS > 0 && o.Class == j.Class:
+			due(j.since, o.WithinS)
 		}
 	}
 	return best, found
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -43,7 +43,7 @@
 		return
 	}
 	sort.SliceStable(waiting, func(i, k int) bool { return waiting[i].Level < waiting[k].Level })
-	for _, j := range c.jobs {
+	for j := range c.live {
 		if j.running > 0 && j.CheckpointS > 0 {
 			lowest = max(lowest, j.level)
 		}
--- a/internal/controller/starts.go
+++ b/internal/controller/starts.go
@@ -99,7 +99,7 @@
 			if !b.fits(log.size+64, maxOps) {
 				return
 			}
-			b.add(log.key, log.value(), func() { c.startsDurable(log) })
+			b.add(&write{key: log.key, value: log.value(), then: []func(){func() { c.startsDurable(log) }}, refused: func() { c.startsRefused(log) }})
 			log.saved = true
 		}
 		c.unsaved = c.unsaved[1:]
@@ -118,6 +118,17 @@
 	log.attempts, log.machines = nil, nil
 }
 
+// startsRefused lets the tasks of a record that can't be stored be placed anew:
+// none of its starts has gone out.
+func (c *Controller) startsRefused(log *startLog) {
+	for _, a := range log.attempts {
+		if a.state == recording && a.log == log {
+			c.drop(a.orderedAt, a)
+		}
+	}
+	log.attempts, log.machines = nil, nil
+}
+
 // value is the record's stored form; attempts gone meanwhile are left out.
 func (log *startLog) value() json.RawMessage {
 	byMachine := map[*machine]map[string][]int{}
--- a/internal/controller/writes.go
+++ b/internal/controller/writes.go
@@ -2,14 +2,12 @@
 
 import (
 	"encoding/json"
-	"strconv"
+	"slices"
 
 	"switchshore.example/switchshore/internal/tuning"
 	"switchshore.example/switchshore/wire"
 )
 
-func keyDone(id string, chunk int) string { return "d/" + id + "/" + strconv.Itoa(chunk) }
-
 // writeQueue holds changes in order, the latest value of a key winning as
 // long as it has not been taken.
 type writeQueue struct {
@@ -22,6 +20,8 @@
 	key   string
 	value json.RawMessage // nil: delete
 	then  []func()
+	// refused is called, if set, should the state service refuse it for good.
+	refused func()
 }
 
 func (q *writeQueue) len() int { return len(q.queue) - q.head }
@@ -47,7 +47,7 @@
 // Batch is a group of changes to be committed together.
 type Batch struct {
 	Writes []wire.Write
-	then   []func()
+	writes []*write
 	size   int
 }
 
@@ -56,14 +56,14 @@
 	return len(b.Writes) < maxOps && (len(b.Writes) == 0 || b.size+size <= tuning.TxnBytes)
 }
 
-func (b *Batch) add(key string, value json.RawMessage, then ...func()) {
-	if value == nil {
-		b.Writes = append(b.Writes, wire.Write{Delete: key})
+func (b *Batch) add(w *write) {
+	if w.value == nil {
+		b.Writes = append(b.Writes, wire.Write{Delete: w.key})
 	} else {
-		b.Writes = append(b.Writes, wire.Write{Put: key, Value: value})
+		b.Writes = append(b.Writes, wire.Write{Put: w.key, Value: w.value})
 	}
-	b.size += changeSize(key, value)
-	b.then = append(b.then, then...)
+	b.size += changeSize(w.key, w.value)
+	b.writes = append(b.writes, w)
 }
 
 // changeSize is what a change takes of a transaction, its JSON frame included.
@@ -79,7 +79,7 @@
 		q.queue[q.head] = nil
 		q.head++
 		delete(q.byKey, w.key)
-		b.add(w.key, w.value, w.then...)
+		b.add(w)
 	}
 	if q.head == len(q.queue) {
 		q.queue, q.head = q.queue[:0], 0
@@ -89,29 +89,64 @@
 // NextBatch takes the changes to be made next, or nil if there are none:
 // first those that users wait for, then the records of starts, then at most
 // spare of the rest (completions, and what can be deleted), as nobody waits
-// for those and they must not use up the budget of the others. Batches must be
-// committed one after the other, each followed by Committed.
+// for those and they must not use up the budget of the others. Final states that
+// follow from others have a small part of every batch, whatever else there is,
+// and more only of what is spare. Batches must be committed one after the other,
+// each followed by Committed.
 func (c *Controller) NextBatch(maxOps, spare int) *Batch {
 	b := &Batch{}
+	c.chain.take(b, maxOps, max(1, maxOps/tuning.ChainPart))
 	c.urgent.take(b, maxOps, maxOps)
 	c.takeStarts(b, maxOps)
+	c.chain.take(b, maxOps, spare)
 	if len(c.unsaved) == 0 {
 		// A record may be deleted only once what it still stood for is stored
 		// elsewhere.
 		c.bulk.take(b, maxOps, spare)
 	}
+	c.withhold(b)
 	if len(b.Writes) == 0 {
 		return nil
 	}
 	return b
 }
 
-// Committed tells that a batch is durable.
-func (c *Controller) Committed(b *Batch) {
-	for _, f := range b.then {
-		f()
+// withhold takes changes that the state service would refuse out of a batch.
+// All records are made to fit; one that doesn't must not hold up the others.
+func (c *Controller) withhold(b *Batch) {
+	for i := len(b.writes) - 1; i >= 0; i-- {
+		w := b.writes[i]
+		if len(w.key) > wire.MaxKey || len(w.value) > c.valueLimit() {
+			b.writes = slices.Delete(b.writes, i, i+1)
+			b.Writes = slices.Delete(b.Writes, i, i+1)
+			c.leftOut(w)
+		}
+	}
+}
+
+// leftOut gives a change up that can't be stored. What waits for it goes on
+// waiting, but for starts, which can be decided anew.
+func (c *Controller) leftOut(w *write) {
+	c.log.Error().Str("key", w.key).Int("bytes", len(w.value)).Msg("record refused by the state service, left out")
+	if w.refused != nil {
+		w.refused()
+	}
+}
+
+// Committed tells that a batch is durable, but for the keys refused.
+func (c *Controller) Committed(b *Batch, refused []string) {
+	for _, w := range b.writes {
+		if slices.Contains(refused, w.key) {
+			c.leftOut(w)
+			continue
+		}
+		for _, f := range w.then {
+			f()
+		}
 	}
 }
 
 // Pending reports whether changes wait for the state service.
-func (c *Controller) Pending() bool { return c.urgent.len()+c.bulk.len()+len(c.unsaved) > 0 }
+func (c *Controller) Pending() bool {
+	return c.urgent.len()+c.chain.len()+c.bulk.len()+len(c.unsaved) > 0
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,7 +183,7 @@
 	case peer.OpCancel:
 		p.Cancel(now, c.Job, then)
 	case peer.OpSubmit:
-		p.Submit(now, time.Now(), c.Spec, then)
+		p.Submit(now, time.Now(), c.Submission(), then)
 	}
 	n.mu.Unlock()
 	n.wake(n.write)
@@ -273,7 +273,11 @@
 			p.Loaded(time.Now())
 			return p, nil
 		}
-		n.log.Debug().Err(err).Msg("load")
+		level := zerolog.DebugLevel
+		if errors.Is(err, controller.ErrDamaged) {
+			level = zerolog.ErrorLevel
+		}
+		n.log.WithLevel(level).Err(err).Msg("load")
 		if err := store.Pause(ctx, tuning.StoreRetry); err != nil {
 			return nil, err
 		}
@@ -298,11 +302,12 @@
 			}
 			continue
 		}
-		if err := w.Commit(ctx, n.store, b.Writes); err != nil {
+		refused, err := w.Commit(ctx, n.store, b.Writes)
+		if err != nil {
 			return err
 		}
 		n.mu.Lock()
-		p.Committed(b)
+		p.Committed(b, refused)
 		n.mu.Unlock()
 		n.wake(n.tick)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -32,21 +32,44 @@
 
 // Call is a request on its way to the leader.
 type Call struct {
-	ID     uint64       `json:"id"`
-	Op     string       `json:"op"`
-	Job    string       `json:"job,omitempty"`
-	Spec   *wire.Job    `json:"spec,omitempty"`
-	Report *wire.Report `json:"report,omitempty"`
+	ID   uint64    `json:"id"`
+	Op   string    `json:"op"`
+	Job  string    `json:"job,omitempty"`
+	Spec *wire.Job `json:"spec,omitempty"`
+	// Chained is in the place of Spec for a job that needs others. Versions
+	// that don't know such jobs would lose what it needs and start it early;
+	// without Spec the call is incomplete to them, and refused at once.
+	Chained *wire.Job    `json:"chained,omitempty"`
+	Report  *wire.Report `json:"report,omitempty"`
 	// Hops counts forwards; a call is relayed once at most.
 	Hops int `json:"hops,omitempty"`
 }
 
+// Submit returns the call for a submission.
+func Submit(job *wire.Job) Call {
+	c := Call{Op: OpSubmit, Job: job.ID}
+	if len(job.Needs) > 0 {
+		c.Chained = job
+	} else {
+		c.Spec = job
+	}
+	return c
+}
+
+// Submission is the job to be submitted.
+func (c *Call) Submission() *wire.Job {
+	if c.Chained != nil {
+		return c.Chained
+	}
+	return c.Spec
+}
+
 // complete reports whether the call carries what its operation needs. A peer
 // of another version, in the middle of an upgrade, may send less.
 func (c *Call) complete() bool {
 	switch c.Op {
 	case OpSubmit:
-		return c.Spec != nil
+		return c.Submission() != nil
 	case OpReport:
 		return c.Report != nil
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -386,9 +386,11 @@
 func (w *World) outcome(n *node, p *controller.Controller, o store.Outcome) {
 	switch o {
 	case store.Applied:
-		p.Committed(n.batch)
+		p.Committed(n.batch, n.writer.Refused())
 		n.batch = nil
 		w.pump(n, p)
+	case store.Next:
+		w.pump(n, p)
 	case store.Again:
 		w.at(n, tuning.StoreRetry, func() { w.pump(n, p) })
 	case store.Deposed:
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -27,14 +27,21 @@
 // on the term key, so that a transaction whose answer was lost and which was
 // then repeated cannot be applied a second time, later, over newer values.
 //
+// A transaction that the state service does not understand, as it has become
+// stricter than the settings say, is split until the change at fault is alone;
+// that one is left out. Ending the term instead would depose each leader in
+// turn, as the next one would send the same.
+//
 // The steps do no I/O: Begin, then Txn and Answer until the outcome is known.
 type Writer struct {
-	term   uint64
-	leader wire.Guard
-	fence  wire.Guard
-	nonce  uint64
-	writes []wire.Write
-	fenced bool
+	term    uint64
+	leader  wire.Guard
+	fence   wire.Guard
+	nonce   uint64
+	writes  []wire.Write
+	rest    [][]wire.Write // to follow, in this order
+	refused []string
+	fenced  bool
 }
 
 // Outcome is what an answer means for the changes begun.
@@ -44,6 +51,7 @@
 const (
 	Applied Outcome = iota // durable
 	Again                  // send Txn once more
+	Next                   // send Txn, which goes on with the rest
 	Settle                 // read KeyTerm, then ask Settled
 	Deposed                // not applied now, and never will be
 )
@@ -59,7 +67,12 @@
 }
 
 // Begin starts a group of changes; the one before must have been applied.
-func (w *Writer) Begin(writes []wire.Write) { w.writes, w.fenced = writes, false }
+func (w *Writer) Begin(writes []wire.Write) {
+	w.writes, w.fenced, w.rest, w.refused = writes, false, nil, nil
+}
+
+// Refused names the keys of the changes begun that were left out.
+func (w *Writer) Refused() []string { return w.refused }
 
 // Txn is the transaction to send.
 func (w *Writer) Txn() wire.Txn {
@@ -78,7 +91,7 @@
 		if w.fenced {
 			w.fence.Version = res.Revision
 		}
-		return Applied
+		return w.next()
 	case errors.Is(err, ErrConflict):
 		if !w.fenced || slices.Contains(res.Failed, KeyLeader) {
 			return Deposed
@@ -86,7 +99,7 @@
 		// An earlier try may have been the one that was applied.
 		return Settle
 	case errors.Is(err, ErrMalformed):
-		return Deposed
+		return w.split()
 	case errors.Is(err, httpc.ErrNoAnswer) && !w.fenced:
 		// From now on the tries carry a new fence: whichever try is applied
 		// first, no other one can be.
@@ -96,6 +109,36 @@
 	return Again
 }
 
+// next goes on with what a split has left over.
+func (w *Writer) next() Outcome {
+	if len(w.rest) == 0 {
+		return Applied
+	}
+	w.writes, w.rest, w.fenced = w.rest[0], w.rest[1:], false
+	return Next
+}
+
+// split divides the changes of a transaction that was not understood, and was
+// thus not carried out. An earlier try without an answer may still be: the fence
+// stays with the first part, and what that try carried is the same.
+func (w *Writer) split() Outcome {
+	switch half := len(w.writes) / 2; {
+	case half > 0:
+		w.rest = append([][]wire.Write{w.writes[half:]}, w.rest...)
+		w.writes = w.writes[:half:half]
+		return Next
+	case len(w.writes) == 0:
+		// Not even the fence alone.
+		return Deposed
+	}
+	w.refused = append(w.refused, w.writes[0].Key())
+	if w.fenced {
+		w.writes = nil
+		return Next
+	}
+	return w.next()
+}
+
 // Settled takes in what KeyTerm was read to be.
 func (w *Writer) Settled(item wire.Item, err error) Outcome {
 	var rec TermRecord
@@ -108,12 +151,13 @@
 		return Deposed
 	}
 	w.fence.Version = item.Version
-	return Applied
+	return w.next()
 }
 
-// Commit makes the changes durable or fails for good: it returns nil when
-// they are applied, ErrDeposed when they never will be, or the context's error.
-func (w *Writer) Commit(ctx context.Context, s API, writes []wire.Write) error {
+// Commit makes the changes durable or fails for good: it returns the keys of
+// those left out when the others are applied, ErrDeposed when they never will
+// be, or the context's error.
+func (w *Writer) Commit(ctx context.Context, s API, writes []wire.Write) ([]string, error) {
 	w.Begin(writes)
 	outcome := Again
 	for {
@@ -124,12 +168,14 @@
 		}
 		switch outcome {
 		case Applied:
-			return nil
+			return w.Refused(), nil
 		case Deposed:
-			return ErrDeposed
+			return nil, ErrDeposed
+		case Next:
+			continue
 		}
 		if err := Pause(ctx, tuning.StoreRetry); err != nil {
-			return err
+			return nil, err
 		}
 	}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -72,9 +72,18 @@
 	// ValueShare is the part of the value limit that a start record fills; its
 	// size is reckoned before it is written.
 	ValueShare = 0.9
-	// DoneChunk is the number of tasks whose completion shares one key: even
-	// fragmented, its ranges stay far below the smallest value limit.
-	DoneChunk = 1024
+	// DoneChunk is the number of tasks whose completion shares one key at most;
+	// DoneTaskBytes is the most that a task adds to it: ranges of two take twelve
+	// bytes for every three ("10000-10001,").
+	DoneChunk     = 1024
+	DoneTaskBytes = 4
+	// ChainPart is the part of a transaction (one over it) that final states
+	// which follow from those of other jobs may always take: thousands of them
+	// must neither wait for ever nor hold up what users wait for.
+	ChainPart = 4
+	// ChainSteps bounds the jobs that one look lets go on, cancels or weighs
+	// after others have ended: about a millisecond of work.
+	ChainSteps = 500
 	// DoneFlush lets completions of one job gather before they are written:
 	// the worker keeps its memory of them until then, so nothing is lost by it,
 	// and many jobs of short tasks are over by then.
@@ -171,6 +180,9 @@
 	// and those too late for any count with, in seconds: behind most that can
 	// be in time, but not for ever.
 	LateSlack = 400.0
+	// StageDelay is what each stage of a chain takes beyond its tasks' run time
+	// and image: the last report, its record, the placement, the next report.
+	StageDelay = 3 * time.Second
 	// FullPause keeps a machine that refused a start free of new ones.
 	FullPause = 3 * time.Second
 	// FaultyJobs is the number of different jobs whose tasks must fail on a
--- a/wire/validate.go
+++ b/wire/validate.go
@@ -38,6 +38,7 @@
 	CheckpointS *float64  `json:"loglineS"`
 	SaveS       *float64  `json:"stowS"`
 	DeadlineS   *float64  `json:"tideS"`
+	Needs       []*string `json:"awaits"`
 }
 
 // ValidID reports whether a job id has the protocol's form.
@@ -142,6 +143,16 @@
 		d := number("tideS", f.DeadlineS, false)
 		j.DeadlineS = &d
 	}
+	named := map[string]bool{}
+	for _, need := range f.Needs {
+		switch {
+		case need == nil:
+			fail("awaits", "not a list of strings")
+		case !named[*need]:
+			named[*need] = true
+			j.Needs = append(j.Needs, *need)
+		}
+	}
 	if bad != nil {
 		return nil, bad
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -28,6 +28,9 @@
 // MaxBody is the largest request body and response line, in bytes.
 const MaxBody = 64 << 10
 
+// MaxKey is the longest key of the state service, in bytes.
+const MaxKey = 200
+
 // Job states.
 const (
 	JobQueued    = "queued"
@@ -84,6 +87,9 @@
 	CheckpointS float64  `json:"loglineS"`
 	SaveS       float64  `json:"stowS"`
 	DeadlineS   *float64 `json:"tideS,omitempty"`
+	// Needs names the jobs that have to be done before a task of this one
+	// starts, each once.
+	Needs []string `json:"awaits,omitempty"`
 }
 
 // JobStatus answers submissions, queries and cancellations.
