--- a/internal/controller/chain.go
+++ b/internal/controller/chain.go
@@ -102,10 +102,11 @@
 		return
 	}
 	j.doomed = true
+	queue := &c.chain
 	if !j.stored {
-		return // its user hears of the acceptance first; begin goes on
+		queue = &c.urgent // behind the acceptance; its user hears of both at once
 	}
-	c.end(j, jobCancelled, &c.chain)
+	c.end(j, jobCancelled, queue)
 	c.settle(j.ID, final{how: finalCancelled})
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -348,6 +348,9 @@
 			j.waiting = nil
 		}
 	})
+	if j.doomed {
+		c.doom(j)
+	}
 }
 
 // maxUrgent is how many changes the write budget takes while a user waits.
--- /dev/null
+++ b/internal/standin/former.go
@@ -0,0 +1,83 @@
+package standin
+
+import (
+	"encoding/json"
+	"regexp"
+	"slices"
+	"strings"
+
+	"switchshore.example/switchshore/wire"
+)
+
+// The version before the chained jobs, as a frozen picture: what it makes of the
+// records that it finds, and which it writes. It led by the same rules otherwise,
+// so a node of the world plays it by leading behind these filters.
+
+// formerJob is the job that the former version knew.
+type formerJob struct {
+	ID          string   `json:"ref"`
+	Class       string   `json:"muster"`
+	Team        string   `json:"crew"`
+	Kind        string   `json:"rig"`
+	Priority    string   `json:"rank"`
+	Tasks       int      `json:"oars"`
+	CPUs        float64  `json:"cores"`
+	GPUs        float64  `json:"cards"`
+	MemoryGB    float64  `json:"memoryGb"`
+	Image       string   `json:"hull"`
+	ImageGB     float64  `json:"imageGb"`
+	Types       []string `json:"builds"`
+	Zone        string   `json:"berth,omitempty"`
+	OneZone     bool     `json:"together"`
+	Spread      bool     `json:"apart"`
+	Spot        bool     `json:"driftwood"`
+	EstimateS   float64  `json:"reckonS"`
+	CheckpointS float64  `json:"loglineS"`
+	SaveS       float64  `json:"stowS"`
+	DeadlineS   *float64 `json:"tideS,omitempty"`
+}
+
+var (
+	formerPrefixes = []string{"c/types", "j/", "d/", "f/", "m/", "s/"}
+	formerDone     = regexp.MustCompile(`^d/[^/]+/[0-9]+$`)
+)
+
+// FormerReads is a record as the former version reads it, false if it doesn't.
+func FormerReads(item wire.Item) (wire.Item, bool) {
+	if !slices.ContainsFunc(formerPrefixes, func(p string) bool { return strings.HasPrefix(item.Key, p) }) {
+		return item, false
+	}
+	if strings.HasPrefix(item.Key, "j/") {
+		var rec struct {
+			Job formerJob `json:"job"`
+			At  int64     `json:"at"`
+		}
+		if json.Unmarshal(item.Value, &rec) == nil {
+			item.Value, _ = json.Marshal(rec)
+		}
+	}
+	return item, true
+}
+
+// FormerWrites are those of a leader's changes that the former version makes: it
+// does not touch keys that it has no names for.
+func FormerWrites(writes []wire.Write) []wire.Write {
+	return slices.DeleteFunc(slices.Clone(writes), func(w wire.Write) bool {
+		key := w.Key()
+		return strings.HasPrefix(key, "n/") || strings.HasPrefix(key, "d/") && !formerDone.MatchString(key)
+	})
+}
+
+// FormerRefuses reports whether a call between nodes, as JSON, is incomplete to
+// the former version, which then answers 503 at once.
+func FormerRefuses(call []byte) bool {
+	var c struct {
+		Op     string           `json:"op"`
+		Spec   *json.RawMessage `json:"spec"`
+		Report *json.RawMessage `json:"report"`
+	}
+	if json.Unmarshal(call, &c) != nil {
+		return true
+	}
+	return c.Op == "submit" && c.Spec == nil || c.Op == "report" && c.Report == nil
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -4,10 +4,12 @@
 package standin
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
 
+	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/store"
 	"switchshore.example/switchshore/wire"
 )
@@ -24,7 +26,9 @@
 
 // State is the state service.
 type State struct {
-	Down     bool
+	Down bool
+	// Limits hold for values and transactions, if set.
+	Limits   config.State
 	keys     map[string]*entry
 	leases   map[uint64]*lease
 	revision uint64
@@ -91,6 +95,9 @@
 		return wire.TxnResult{}, store.ErrRefused
 	}
 	res := wire.TxnResult{}
+	if s.refuses(txn) {
+		return res, store.ErrMalformed
+	}
 	for _, g := range txn.If {
 		var version uint64
 		if e := s.keys[g.Key]; e != nil {
@@ -121,6 +128,17 @@
 	return res, nil
 }
 
+// refuses reports whether a transaction is above the limits.
+func (s *State) refuses(txn wire.Txn) bool {
+	l := s.Limits
+	if l.TxnOps > 0 && (len(txn.Then) > l.TxnOps || len(txn.If) > 4*l.TxnOps) {
+		return true
+	}
+	return slices.ContainsFunc(txn.Then, func(w wire.Write) bool {
+		return len(w.Key()) > wire.MaxKey || l.ValueKB > 0 && float64(len(w.Value)) > l.ValueKB*1024
+	})
+}
+
 // Grant gives a lease.
 func (s *State) Grant(now time.Time, ttl time.Duration) (uint64, error) {
 	if s.Down {
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -55,8 +55,7 @@
 }
 
 // play runs one seeded day with troubles of the given kinds, or of all, and
-// returns the world. A rule that breaks, a job that doesn't end once it is
-// calm, and one about which questions go unanswered fail the test.
+// returns the world.
 func play(t *testing.T, seed uint64, roughness float64, kinds ...standin.Trouble) *standin.World {
 	t.Helper()
 	w := standin.NewWorld(seed, 3+2*int(seed%2), params(), machineType)
@@ -70,6 +69,13 @@
 		w.Submit(time.Duration(rng.IntN(200_000))*time.Millisecond, drawJob(rng, i), cancel)
 	}
 	w.Troubles(kinds...)
+	return run(t, w)
+}
+
+// run plays a day to its end. A rule that breaks, a job that doesn't end once it
+// is calm, and one about which questions go unanswered fail the test.
+func run(t *testing.T, w *standin.World) *standin.World {
+	t.Helper()
 	if err := w.Run(1800*time.Second, 300*time.Second); err != nil {
 		t.Fatal(err)
 	}
