--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -88,3 +88,27 @@
 		}
 	}
 }
+
+// TestLimitsToCome: both sets of limits hold at all times; without the table, or
+// a field of it, nothing changes.
+func TestLimitsToCome(t *testing.T) {
+	before, err := config.Parse([]byte(settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := config.Parse([]byte(settings + "[facts.state.next]\nwrite_rps = 56.0\nvalue_kb = 2.0\ntxn_ops = 60\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := before.Params.State
+	want.WriteRPS, want.ValueKB = 56, 2
+	if c.Params.State != want {
+		t.Errorf("%+v, want %+v", c.Params.State, want)
+	}
+	for _, wrong := range []string{"write_rps = 0.0", "value_kb = -1.0", "txn_ops = 2", "rps = 0.0"} {
+		field, _, _ := strings.Cut(wrong, " ")
+		if _, err := config.Parse([]byte(settings + "[facts.state.next]\n" + wrong + "\n")); err == nil || !strings.Contains(err.Error(), "facts.state.next."+field) {
+			t.Errorf("%s: %v", wrong, err)
+		}
+	}
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -5,10 +5,15 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 
+	"github.com/goccy/go-json"
 	"github.com/rs/zerolog"
+
+	"switchshore.example/switchshore/internal/standin"
+	"switchshore.example/switchshore/wire"
 )
 
 // TestIncompleteCallsAreRefused: a peer of another version may send calls
@@ -40,3 +45,42 @@
 		}
 	}
 }
+
+// TestFormerVersionsLines: what nodes of the version before the chained jobs
+// send is understood in full, and read by those nodes as they wrote it when sent
+// back; a chained job is refused by them, not carried out without what it needs.
+func TestFormerVersionsLines(t *testing.T) {
+	data, err := os.ReadFile("testdata/former.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	calls := 0
+	for text := range strings.Lines(string(data)) {
+		var m line
+		if err := json.Unmarshal([]byte(text), &m); err != nil {
+			t.Fatal(err)
+		}
+		if m.Call != nil {
+			if calls++; !m.Call.complete() {
+				t.Errorf("incomplete: %s", text)
+			}
+		}
+		if again, _ := json.Marshal(&m); string(again) != strings.TrimSpace(text) {
+			t.Errorf("%s read as %s", text, again)
+		}
+	}
+	if calls != 4 {
+		t.Errorf("%d calls", calls)
+	}
+	job := &wire.Job{ID: "job-000001"}
+	plain, _ := json.Marshal(Submit(job))
+	job.Needs = []string{"job-000002"}
+	chained, _ := json.Marshal(Submit(job))
+	if standin.FormerRefuses(plain) || !standin.FormerRefuses(chained) {
+		t.Errorf("%s\n%s", plain, chained)
+	}
+	var c Call
+	if err := json.Unmarshal(chained, &c); err != nil || !c.complete() || len(c.Submission().Needs) != 1 {
+		t.Errorf("%v %+v", err, c)
+	}
+}
--- a/internal/store/writer_test.go
+++ b/internal/store/writer_test.go
@@ -1,9 +1,14 @@
 package store_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/httpc"
 	"switchshore.example/switchshore/internal/standin"
 	"switchshore.example/switchshore/internal/store"
@@ -105,3 +110,72 @@
 		t.Fatal("the key outlived its lease")
 	}
 }
+
+// TestRefusedChangeIsLeftOut: the state service has become stricter than anyone
+// was told, at any moment, also between a try without an answer and its repeat.
+// All changes that it takes are made, and only those that it can't are named.
+func TestRefusedChangeIsLeftOut(t *testing.T) {
+	long := put("long", strings.Repeat("x", 2000))
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		s, w := won(t)
+		var want []string
+		for round := range 6 {
+			if round == 2 {
+				s.Limits = config.State{ValueKB: 1, TxnOps: 3}
+			}
+			var writes []wire.Write
+			for i := range 1 + rng.IntN(7) {
+				writes = append(writes, put(fmt.Sprintf("k%d-%d", round, i), "v"))
+			}
+			withLong := rng.IntN(2) == 0
+			if withLong {
+				writes = append(writes, long)
+			}
+			w.Begin(writes)
+			var late []wire.Txn
+			for o := store.Again; o != store.Applied; {
+				if o == store.Deposed {
+					t.Fatalf("seed %d, round %d: deposed", seed, round)
+				}
+				if o == store.Settle {
+					o = w.Settled(s.Get(store.KeyTerm))
+					continue
+				}
+				txn := w.Txn()
+				switch rng.IntN(4) {
+				case 0:
+					late = append(late, txn) // carried out late, or never
+					o = w.Answer(wire.TxnResult{}, httpc.ErrNoAnswer)
+				case 1:
+					_, _ = s.Commit(txn)
+					o = w.Answer(wire.TxnResult{}, httpc.ErrNoAnswer)
+				default:
+					o = w.Answer(s.Commit(txn))
+				}
+			}
+			if refused := w.Refused(); round >= 2 && slices.Contains(refused, "long") != withLong || round >= 2 && len(refused) > 1 {
+				t.Fatalf("seed %d, round %d: refused %v", seed, round, refused)
+			}
+			for _, change := range writes {
+				if change.Put != "long" {
+					want = append(want, change.Put)
+				}
+			}
+			// A late copy changes nothing any more.
+			before, _ := s.List("")
+			for _, txn := range late {
+				_, _ = s.Commit(txn)
+			}
+			after, _ := s.List("")
+			if len(before) != len(after) {
+				t.Fatalf("seed %d, round %d: a late copy was applied", seed, round)
+			}
+		}
+		for _, key := range want {
+			if _, err := s.Get(key); err != nil {
+				t.Fatalf("seed %d: %s is missing", seed, key)
+			}
+		}
+	}
+}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"testing"
 
@@ -32,6 +33,21 @@
 	}
 }
 
+// TestNeeds: repeats count once, and a job that needs none is the same as ever.
+func TestNeeds(t *testing.T) {
+	want, _ := wire.ParseJob([]byte(submission))
+	plain, _ := json.Marshal(want)
+	for awaits, needs := range map[string][]string{`null`: nil, `[]`: nil, `["job-2","job-1","job-2"]`: {"job-2", "job-1"}} {
+		j, err := wire.ParseJob([]byte(strings.Replace(submission, `"later":1`, `"awaits":`+awaits, 1)))
+		if err != nil || !slices.Equal(j.Needs, needs) {
+			t.Fatalf("awaits %s: %v %+v", awaits, err, j)
+		}
+		if data, _ := json.Marshal(j); (string(data) == string(plain)) != (needs == nil) {
+			t.Errorf("awaits %s: %s", awaits, data)
+		}
+	}
+}
+
 func TestParseJobRefuses(t *testing.T) {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal([]byte(submission), &fields); err != nil {
@@ -59,6 +75,11 @@
 			t.Errorf("%s accepted", change[1])
 		}
 	}
+	for _, awaits := range []string{`"job-1"`, `[7]`, `[null]`, `{}`, `true`, `[["job-1"]]`} {
+		if _, err := wire.ParseJob([]byte(strings.Replace(submission, `"later":1`, `"awaits":`+awaits, 1))); err == nil || !strings.Contains(err.Error(), "awaits") {
+			t.Errorf("awaits %s: %v", awaits, err)
+		}
+	}
 	for _, body := range []string{"", "[]", "null", "3", "{", submission + "x"} {
 		if _, err := wire.ParseJob([]byte(body)); err == nil {
 			t.Errorf("%.20q accepted", body)
