--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -162,6 +163,12 @@
 		c.until(c.addrs[0], "GET", wire.PathJobs+"/"+id, "", 200, wire.JobDone)
 		c.until(addr, "POST", wire.PathJobs+"/"+id+"/"+wire.EndCancel, "", 200, wire.JobDone)
 	}
+	const third = `"tideS":null,"awaits":["job-000000","job-000002"]}`
+	chained := strings.Replace(fmt.Sprintf(submission, "job-000100"), `"tideS":null}`, third, 1)
+	for _, addr := range c.addrs {
+		c.until(addr, "POST", wire.PathJobs, chained, map[bool]int{true: 201, false: 200}[addr == c.addrs[0]], "")
+		c.until(addr, "GET", wire.PathJobs+"/job-000100", "", 200, wire.JobDone)
+	}
 	addr := c.addrs[1]
 	for _, r := range []struct {
 		method, path, body string
@@ -174,6 +181,8 @@
 		{"GET", wire.PathJobs, "", 405},
 		{"POST", wire.PathJobs, "{", 400},
 		{"POST", wire.PathJobs, fmt.Sprintf(submission, "else"), 400},
+		{"POST", wire.PathJobs, strings.NewReplacer("job-000100", "job-000101", "job-000002", "job-999999").Replace(chained), 422},
+		{"POST", wire.PathJobs, strings.NewReplacer("job-000100", "job-000101", `"job-000002"`, "2").Replace(chained), 400},
 		{"POST", wire.PathReport, "{}", 400},
 		{"POST", wire.PathJobs + "/job-999999/" + wire.EndCancel, "", 404},
 	} {
