--- a/internal/controller/chain.go
+++ b/internal/controller/chain.go
@@ -216,10 +216,10 @@
 			}
 		}
 	}
-	// What is left needs itself: its records can't be right. It waits, and can
-	// be cancelled.
+	// What is left needs itself, or is needed by one that does: records that
+	// can't be right. Those jobs wait, and can be cancelled.
 	for j := range after {
 		j.tangled = true
-		c.log.Error().Str("key", keyJob(j.ID)).Msg("damaged record: waits for itself")
+		c.log.Error().Str("key", keyJob(j.ID)).Msg("damaged records: a circle of jobs that wait for each other, or needed by one")
 	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -210,7 +210,7 @@
 	open  int // jobs that it needs and that are not over
 	// doomed: a job that it needs was cancelled, and so will it be.
 	doomed  bool
-	tangled bool // its record can't be right: it needs itself
+	tangled bool // its path can't be derived: damaged records lead in a circle
 	inLine  bool // among those to be reweighed
 	stored  bool // the acceptance is durable
 	ended   bool // the final state is durable
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -28,10 +28,10 @@
 	// RenewTimeout bounds one renewal; the state service seldom takes more
 	// than a few hundred milliseconds, and a second try must fit in.
 	RenewTimeout = 700 * time.Millisecond
-	// CampaignJitter spreads simultaneous campaigns of several nodes: about the
-	// time of one. Former versions took up to 60 ms, so that during an upgrade
-	// mostly a node wins that has been upgraded, and does not end soon.
-	CampaignJitter = 15 * time.Millisecond
+	// CampaignJitter spreads simultaneous campaigns of several nodes a little.
+	// Former versions took up to 60 ms, so that during an upgrade mostly a node
+	// wins that has been upgraded, and does not end soon.
+	CampaignJitter = 5 * time.Millisecond
 	// CampaignRetry paces campaigns and reads that failed.
 	CampaignRetry = 300 * time.Millisecond
 	// WatchBlock is how long a follower's watch on the leader key may wait;
