--- a/internal/controller/chain.go
+++ b/internal/controller/chain.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -33,7 +34,7 @@
 		}
 		switch j := c.jobs[id]; {
 		case j == nil:
-			return http.StatusUnprocessableEntity, "awaits " + id + ", which was never accepted"
+			return http.StatusUnprocessableEntity, fmt.Sprintf("awaits %.*s, which was never accepted", wire.MaxIDLength, id)
 		case !j.stored:
 			return http.StatusServiceUnavailable, "awaits " + id + ", which is being accepted"
 		}
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -30,9 +30,9 @@
 	if err == nil {
 		return nil
 	}
-	if kind == "c" || kind == "d" {
-		// The cloud tells the catalogue again, and tasks without a completion
-		// run again: no reason to serve nobody.
+	if kind == "c" || kind == "d" || kind == "n" {
+		// The cloud tells the catalogue again, tasks without a completion run
+		// again, and a piece may belong to no job: no reason to serve nobody.
 		c.log.Error().Err(err).Str("key", item.Key).Msg("damaged record, left out")
 		return nil
 	}
@@ -50,10 +50,9 @@
 		c.SetTypes(types)
 	case "n":
 		var piece []byte
-		if err := json.Unmarshal(value, &piece); err != nil {
-			return err
-		}
+		err := json.Unmarshal(value, &piece)
 		c.pieces["n/"+id] = piece
+		return err
 	case "j":
 		return c.loadJob(now, wall, id, value)
 	case "d":
--- a/internal/controller/writes.go
+++ b/internal/controller/writes.go
@@ -46,9 +46,9 @@
 
 // Batch is a group of changes to be committed together.
 type Batch struct {
-	Writes []wire.Write
-	writes []*write
-	size   int
+	Writes  []wire.Write
+	changes []*write // the same, with what follows them
+	size    int
 }
 
 // fits reports whether a change of the given size still goes in.
@@ -63,7 +63,7 @@
 		b.Writes = append(b.Writes, wire.Write{Put: w.key, Value: w.value})
 	}
 	b.size += changeSize(w.key, w.value)
-	b.writes = append(b.writes, w)
+	b.changes = append(b.changes, w)
 }
 
 // changeSize is what a change takes of a transaction, its JSON frame included.
@@ -114,10 +114,10 @@
 // withhold takes changes that the state service would refuse out of a batch.
 // All records are made to fit; one that doesn't must not hold up the others.
 func (c *Controller) withhold(b *Batch) {
-	for i := len(b.writes) - 1; i >= 0; i-- {
-		w := b.writes[i]
+	for i := len(b.changes) - 1; i >= 0; i-- {
+		w := b.changes[i]
 		if len(w.key) > wire.MaxKey || len(w.value) > c.valueLimit() {
-			b.writes = slices.Delete(b.writes, i, i+1)
+			b.changes = slices.Delete(b.changes, i, i+1)
 			b.Writes = slices.Delete(b.Writes, i, i+1)
 			c.leftOut(w)
 		}
@@ -135,7 +135,7 @@
 
 // Committed tells that a batch is durable, but for the keys refused.
 func (c *Controller) Committed(b *Batch, refused []string) {
-	for _, w := range b.writes {
+	for _, w := range b.changes {
 		if slices.Contains(refused, w.key) {
 			c.leftOut(w)
 			continue
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -273,12 +273,12 @@
 			p.Loaded(time.Now())
 			return p, nil
 		}
-		level := zerolog.DebugLevel
+		level, pause := zerolog.DebugLevel, tuning.StoreRetry
 		if errors.Is(err, controller.ErrDamaged) {
-			level = zerolog.ErrorLevel
+			level, pause = zerolog.ErrorLevel, tuning.DamagedRetry
 		}
 		n.log.WithLevel(level).Err(err).Msg("load")
-		if err := store.Pause(ctx, tuning.StoreRetry); err != nil {
+		if err := store.Pause(ctx, pause); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -58,6 +58,10 @@
 	StoreUsual = 8
 	// StoreRetry is the pause after a refusal (429, 503).
 	StoreRetry = 150 * time.Millisecond
+	// DamagedRetry is the pause before a leader reads everything again after it
+	// has found a record that it can't do without damaged: somebody has to mend
+	// it.
+	DamagedRetry = 5 * time.Second
 	// StoreLeaderShare and StoreFollowerShare divide the request budget: the
 	// leader writes, each of the others only watches the leader key.
 	StoreLeaderShare   = 0.70
--- a/wire/validate.go
+++ b/wire/validate.go
@@ -12,9 +12,9 @@
 // MaxTasks is the largest task count of a job.
 const MaxTasks = 100_000
 
-// maxIDLength keeps job ids usable inside keys of the state service (200
+// MaxIDLength keeps job ids usable inside keys of the state service (200
 // bytes at most) together with the prefixes and chunk numbers put around them.
-const maxIDLength = 160
+const MaxIDLength = 160
 
 // jobFields mirrors Job with pointers, to tell a missing field from a zero one.
 type jobFields struct {
@@ -44,7 +44,7 @@
 // ValidID reports whether a job id has the protocol's form.
 func ValidID(id string) bool {
 	const prefix = "job-"
-	if len(id) <= len(prefix) || len(id) > maxIDLength || id[:len(prefix)] != prefix {
+	if len(id) <= len(prefix) || len(id) > MaxIDLength || id[:len(prefix)] != prefix {
 		return false
 	}
 	for _, c := range id[len(prefix):] {
