--- a/internal/standin/chain_test.go
+++ b/internal/standin/chain_test.go
@@ -48,12 +48,13 @@
 }
 
 // TestChains: jobs that need others, cancelled at every moment, through all
-// troubles: none starts too early, none outlives one that it needs and that was
+// troubles and with the state service's limits lowered at any moment: none starts too early, none outlives one that it needs and that was
 // cancelled, all others end.
 func TestChains(t *testing.T) {
 	days(t, 25, func(t *testing.T, seed uint64) {
 		w := standin.NewWorld(seed, 3+2*int(seed%2), tightening(), machineType)
 		w.Roughness = float64(seed % 4)
+		w.Tighten(time.Duration(seed*10) * time.Second)
 		submitChains(w, seed, 0, 0.2)
 		w.Troubles()
 		run(t, w)
