--- a/internal/controller/chain_test.go
+++ b/internal/controller/chain_test.go
@@ -60,13 +60,7 @@
 	if b == nil {
 		return 0
 	}
-	for _, w := range b.Writes {
-		if w.Delete != "" {
-			delete(l.kept, w.Delete)
-		} else {
-			l.kept[w.Put] = w.Value
-		}
-	}
+	l.keep(b.Writes)
 	l.Committed(b, nil)
 	return len(b.Writes)
 }
@@ -442,13 +436,7 @@
 // formerCommit makes the changes that the former version would make.
 func (l *leader) formerCommit() {
 	for b := l.NextBatch(10, 10); b != nil; b = l.NextBatch(10, 10) {
-		for _, w := range standin.FormerWrites(b.Writes) {
-			if w.Delete != "" {
-				delete(l.kept, w.Delete)
-			} else {
-				l.kept[w.Put] = w.Value
-			}
-		}
+		l.keep(standin.FormerWrites(b.Writes))
 		l.Committed(b, nil)
 	}
 }
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -60,16 +60,21 @@
 	return &leader{Controller: c, t: t, now: now, kept: kept}
 }
 
+// keep makes changes durable.
+func (l *leader) keep(writes []wire.Write) {
+	for _, w := range writes {
+		if w.Delete != "" {
+			delete(l.kept, w.Delete)
+		} else {
+			l.kept[w.Put] = w.Value
+		}
+	}
+}
+
 // commit makes all queued changes durable.
 func (l *leader) commit() {
 	for b := l.NextBatch(10, 10); b != nil; b = l.NextBatch(10, 10) {
-		for _, w := range b.Writes {
-			if w.Delete != "" {
-				delete(l.kept, w.Delete)
-			} else {
-				l.kept[w.Put] = w.Value
-			}
-		}
+		l.keep(b.Writes)
 		l.Committed(b, nil)
 	}
 }
