--- a/internal/controller/chain_test.go
+++ b/internal/controller/chain_test.go
@@ -681,3 +681,77 @@
 		t.Fatal(got)
 	}
 }
+
+// TestOversizedChangeIsNotSent: a change above the state service's limit is found
+// before it is sent, named in the logs, and holds up no other.
+func TestOversizedChangeIsNotSent(t *testing.T) {
+	old := params
+	defer func() { params = old }()
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	l.accept(spec("job-1"), spec("job-2"))
+	params.State.ValueKB = 0.05 // less than any start record takes
+	var logs bytes.Buffer
+	c := controller.New(zerolog.New(&logs), params, config.Operator{}, 6, l.now, 0)
+	for _, id := range []string{"job-1", "job-2"} {
+		if err := c.Load(l.now, l.now, wire.Item{Key: "j/" + id, Value: l.kept["j/"+id]}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.Loaded(l.now)
+	c.SetTypes([]wire.MachineType{bigType})
+	next := &leader{Controller: c, t: t, now: l.now, kept: l.kept}
+	next.report("m1", 1)
+	next.pass(time.Second)
+	c.Cancel(next.now, "job-2", func(controller.Verdict) {})
+	b := c.NextBatch(10, 10)
+	if b == nil || len(b.Writes) != 1 || b.Writes[0].Put != "f/job-2" {
+		t.Fatalf("%+v", b)
+	}
+	c.Committed(b, nil)
+	if !strings.Contains(logs.String(), `"key":"s/`) {
+		t.Errorf("not named: %s", logs.String())
+	}
+	if n := c.Counts(); n.Held != 0 || n.Ready != 1 {
+		t.Errorf("the task of the record left out is lost: %+v", n)
+	}
+}
+
+// TestEndedJobsHoldNoGuarantee: what is cancelled, or waits for others, leaves
+// its team's guarantee to the next job.
+func TestEndedJobsHoldNoGuarantee(t *testing.T) {
+	old := params
+	defer func() { params = old }()
+	params.Teams = []config.Team{{Name: "blue", CPUs: 16, CPUsMax: 32}, {Name: "green", CPUs: 8, CPUsMax: 16}}
+	for _, waits := range []bool{false, true} {
+		l := newLeader(t, 5, start, map[string]json.RawMessage{})
+		first, second, other := spec("job-1"), spec("job-2"), spec("job-3")
+		first.Tasks, first.CPUs, second.CPUs, other.CPUs, other.Team = 2, 8, 8, 8, "green"
+		if waits {
+			running := spec("job-0")
+			running.CPUs = 8
+			l.accept(running)
+			l.report("m2", 1)
+			l.pass(time.Second)
+			l.commit()
+			if got := ops(l.report("m2", 1)); got != "run job-0/0" {
+				t.Fatal(got)
+			}
+			first.Needs = []string{running.ID}
+		}
+		l.accept(first)
+		l.now = l.now.Add(time.Second)
+		l.accept(second)
+		l.now = l.now.Add(time.Second)
+		l.accept(other)
+		if !waits {
+			l.Cancel(l.now, first.ID, func(controller.Verdict) {})
+			l.commit()
+		}
+		l.report("m1", 1)
+		l.pass(time.Second)
+		l.commit()
+		if got := ops(l.report("m1", 1)); got != "run job-2/0" {
+			t.Errorf("waits %v: %q", waits, got)
+		}
+	}
+}
