Reread: one sum of queued changes, one value limit, oversized changes kept out where a batch is filled

No change of behaviour. The second look over a finished batch, which took changes out of two lists again, is gone; the stand-in world asks in one place which limits a node's version keeps to; the controller names statuses as it does elsewhere. Left as they are: the frozen job of the former version (its point is not to follow the present one) and what tests of one file share in shape only.

--- a/internal/controller/chain.go
+++ b/internal/controller/chain.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"time"
 
 	"switchshore.example/switchshore/internal/sched"
@@ -34,9 +33,9 @@
 		}
 		switch j := c.jobs[id]; {
 		case j == nil:
-			return http.StatusUnprocessableEntity, fmt.Sprintf("awaits %.*s, which was never accepted", wire.MaxIDLength, id)
+			return 422, fmt.Sprintf("awaits %.*s, which was never accepted", wire.MaxIDLength, id)
 		case !j.stored:
-			return http.StatusServiceUnavailable, "awaits " + id + ", which is being accepted"
+			return 503, "awaits " + id + ", which is being accepted"
 		}
 	}
 	return 0, ""
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -199,7 +199,7 @@
 
 // Counts returns the sums.
 func (c *Controller) Counts() Counts {
-	n := Counts{Jobs: len(c.jobs), Machines: len(c.machines), Writes: c.urgent.len() + c.chain.len() + len(c.unsaved) + c.bulk.len(), Scores: c.scores}
+	n := Counts{Jobs: len(c.jobs), Machines: len(c.machines), Writes: c.queued(), Scores: c.scores}
 	n.Chain = len(c.freed) + len(c.doomed) + len(c.reweighed)
 	for _, j := range c.jobs {
 		n.Ready += len(j.ready)
--- a/internal/controller/starts.go
+++ b/internal/controller/starts.go
@@ -64,7 +64,7 @@
 		}
 		return sum
 	}
-	if log == nil || float64(log.size+cost()) > c.params.State.ValueKB*1024*tuning.ValueShare {
+	if log == nil || float64(log.size+cost()) > float64(c.valueLimit())*tuning.ValueShare {
 		c.logs++
 		log = &startLog{key: keyStarts(c.term, c.logs), size: 32, machines: map[*machine]map[*job]bool{}}
 		c.unsaved = append(c.unsaved, log)
--- a/internal/controller/writes.go
+++ b/internal/controller/writes.go
@@ -49,6 +49,8 @@
 	Writes  []wire.Write
 	changes []*write // the same, with what follows them
 	size    int
+	limit   int      // bytes of a value
+	tooLong []*write // would be refused, and are not sent
 }
 
 // fits reports whether a change of the given size still goes in.
@@ -56,7 +58,13 @@
 	return len(b.Writes) < maxOps && (len(b.Writes) == 0 || b.size+size <= tuning.TxnBytes)
 }
 
+// add puts a change in, unless the state service would refuse it. All records
+// are made to fit; one that doesn't must not hold up the others.
 func (b *Batch) add(w *write) {
+	if len(w.key) > wire.MaxKey || len(w.value) > b.limit {
+		b.tooLong = append(b.tooLong, w)
+		return
+	}
 	if w.value == nil {
 		b.Writes = append(b.Writes, wire.Write{Delete: w.key})
 	} else {
@@ -94,7 +102,7 @@
 // and more only of what is spare. Batches must be committed one after the other,
 // each followed by Committed.
 func (c *Controller) NextBatch(maxOps, spare int) *Batch {
-	b := &Batch{}
+	b := &Batch{limit: c.valueLimit()}
 	c.chain.take(b, maxOps, max(1, maxOps/tuning.ChainPart))
 	c.urgent.take(b, maxOps, maxOps)
 	c.takeStarts(b, maxOps)
@@ -104,26 +112,15 @@
 		// elsewhere.
 		c.bulk.take(b, maxOps, spare)
 	}
-	c.withhold(b)
+	for _, w := range b.tooLong {
+		c.leftOut(w)
+	}
 	if len(b.Writes) == 0 {
 		return nil
 	}
 	return b
 }
 
-// withhold takes changes that the state service would refuse out of a batch.
-// All records are made to fit; one that doesn't must not hold up the others.
-func (c *Controller) withhold(b *Batch) {
-	for i := len(b.changes) - 1; i >= 0; i-- {
-		w := b.changes[i]
-		if len(w.key) > wire.MaxKey || len(w.value) > c.valueLimit() {
-			b.changes = slices.Delete(b.changes, i, i+1)
-			b.Writes = slices.Delete(b.Writes, i, i+1)
-			c.leftOut(w)
-		}
-	}
-}
-
 // leftOut gives a change up that can't be stored. What waits for it goes on
 // waiting, but for starts, which can be decided anew.
 func (c *Controller) leftOut(w *write) {
@@ -146,7 +143,10 @@
 	}
 }
 
-// Pending reports whether changes wait for the state service.
-func (c *Controller) Pending() bool {
-	return c.urgent.len()+c.chain.len()+c.bulk.len()+len(c.unsaved) > 0
+// queued is the number of changes that wait for the state service.
+func (c *Controller) queued() int {
+	return c.urgent.len() + c.chain.len() + c.bulk.len() + len(c.unsaved)
 }
+
+// Pending reports whether changes wait for the state service.
+func (c *Controller) Pending() bool { return c.queued() > 0 }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -330,9 +330,7 @@
 			return
 		}
 		params := w.Params
-		if !n.former {
-			params.State = params.State.Tightest()
-		}
+		params.State = w.limits(n)
 		p := controller.New(zerolog.Nop(), params, config.Operator{}, l.Term, won, controller.Grace(w.Params.Workers))
 		for _, prefix := range controller.Prefixes {
 			items, listErr := w.State.List(prefix)
@@ -363,6 +361,14 @@
 	})
 }
 
+// limits are those of the state service that the node's version keeps to.
+func (w *World) limits(n *node) config.State {
+	if n.former {
+		return w.Params.State
+	}
+	return w.Params.State.Tightest()
+}
+
 func (w *World) depose(n *node) {
 	if n.term != nil {
 		n.term.End()
@@ -379,11 +385,7 @@
 		return
 	}
 	if n.batch == nil {
-		limits := w.Params.State
-		if !n.former {
-			limits = limits.Tightest()
-		}
-		if n.batch = p.NextBatch(min(8, limits.TxnOps-1), w.rng.IntN(5)); n.batch == nil {
+		if n.batch = p.NextBatch(min(8, w.limits(n).TxnOps-1), w.rng.IntN(5)); n.batch == nil {
 			w.at(n, tuning.BatchGap, func() { w.pump(n, p) })
 			return
 		}
