Every answer that renews a lease carries the stops of what nobody wants any more

Cause: a leader's first answer to a worker of an earlier term renewed its lease without any command, also when the list named tasks of a cancelled job. An answer that is not final leaves a leader only while it still has authority.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -29,13 +29,13 @@
 	params   config.Params
 	operator config.Operator
 	term     uint64
-	launches uint64
+	attempts uint64
 	rentals  uint64
 
-	// heirloom is when every task that a predecessor may have left on a
+	// inheritedUntil is when every task that a predecessor may have left on a
 	// machine unheard in this term is gone.
-	heirloom time.Time
-	started  time.Time
+	inheritedUntil time.Time
+	started        time.Time
 
 	jobs   map[string]*job
 	finals map[string]final // ended jobs, for good
@@ -128,7 +128,7 @@
 	// A predecessor's last answer comes at the latest a grace after its
 	// authority, which ended before now; the worker's lease runs from the
 	// sending of the report answered.
-	c.heirloom = now.Add(grace + c.leaseTime())
+	c.inheritedUntil = now.Add(grace + c.leaseTime())
 	return c
 }
 
@@ -152,9 +152,9 @@
 // Ready reports whether submissions can be decided: the machine types are known.
 func (c *Controller) Ready() bool { return len(c.types) > 0 }
 
-func (c *Controller) nextLaunch() uint64 {
-	c.launches++
-	return c.term<<32 | c.launches
+func (c *Controller) nextAttempt() uint64 {
+	c.attempts++
+	return c.term<<32 | c.attempts
 }
 
 // Jobs.
@@ -257,6 +257,9 @@
 	return j
 }
 
+// wants reports whether a task of the job is still to run.
+func (j *job) wants(index int) bool { return j.state == jobActive && !j.done.Has(index) }
+
 // fillReady queues every task that is neither done nor maybe on a machine.
 func (j *job) fillReady() {
 	j.ready = j.ready[:0]
@@ -277,6 +280,12 @@
 	Why    string
 }
 
+// Final reports whether the verdict stays true for good, whoever leads: others may
+// be told only by a leader.
+func (v Verdict) Final() bool {
+	return v.Status/100 == 2 && (v.State == wire.JobDone || v.State == wire.JobCancelled)
+}
+
 func (c *Controller) verdict(id string) (Verdict, bool) {
 	if f, ok := c.finals[id]; ok {
 		state := wire.JobDone
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -113,7 +113,7 @@
 	log     *startLog // the record that names it
 	round   uint64    // the last task list that showed it
 
-	launch   uint64
+	number   uint64
 	state    attemptState
 	stop     bool // to be stopped
 	grace    float64
@@ -130,19 +130,17 @@
 }
 
 // wanted reports whether the attempt is still to run.
-func (a *attempt) wanted() bool {
-	return !a.stop && a.job.state == jobActive && !a.job.done.Has(int(a.index))
-}
+func (a *attempt) wanted() bool { return !a.stop && a.job.wants(int(a.index)) }
 
 func (a *attempt) name() string { return wire.TaskName(a.job.ID, int(a.index)) }
 
 func (a *attempt) startCommand() wire.Command {
-	return wire.Command{Op: wire.OpStart, Task: a.name(), Attempt: a.launch}
+	return wire.Command{Op: wire.OpStart, Task: a.name(), Attempt: a.number}
 }
 
 func (a *attempt) stopCommand() wire.Command {
 	grace := a.grace
-	return wire.Command{Op: wire.OpStop, Task: a.name(), Attempt: a.launch, GraceS: &grace}
+	return wire.Command{Op: wire.OpStop, Task: a.name(), Attempt: a.number, GraceS: &grace}
 }
 
 type rental struct {
@@ -327,6 +325,7 @@
 		// It is on its way still, and its worker waits for an answer.
 		m.checkin = r.Seq
 		m.heardAt, m.answeredAt = now, now
+		answer.Commands = c.stopsOf(r)
 		return answer, Taken
 	}
 	if m.old(r) {
@@ -352,6 +351,7 @@
 	if r.Token < c.term {
 		// The worker may still take orders of an earlier term: only a report
 		// sent after it has seen this term shows all that it holds.
+		answer.Commands = c.stopsOf(r)
 		return answer, Taken
 	}
 	c.take(now, m, r, true)
@@ -360,6 +360,23 @@
 	return answer, Taken
 }
 
+// stopsOf are the stops of all listed tasks that nobody wants any more. Every
+// answer renews the lease, so every answer carries them: leaders that ended
+// one after the other, each having heard a worker once in its term, would
+// otherwise keep a cancelled task alive for longer than a cancellation may take.
+func (c *Controller) stopsOf(r *wire.Report) []wire.Command {
+	stops := []wire.Command{}
+	zero := 0.0
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		id, index, ok := wire.SplitTask(t.Task)
+		if j := c.jobs[id]; t.State != wire.TaskExited && (!ok || j == nil || !j.wants(index)) && len(stops) < tuning.AnswerCommands {
+			stops = append(stops, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
+		}
+	}
+	return stops
+}
+
 // hearing judges whether our answers reach a machine whose reports reach us.
 // Its lease runs out if they don't: a new session right after reports without
 // a gap shows it. Such a machine would take starts for ever that it never gets.
@@ -442,7 +459,7 @@
 		}
 		a := m.find(j, int32(index))
 		if t.State == wire.TaskExited {
-			if a != nil && (a.launch == t.Attempt || a.state == maybe) {
+			if a != nil && (a.number == t.Attempt || a.state == maybe) {
 				a.round = c.round
 				if a.state == ordered {
 					m.unheeded = 0
@@ -470,8 +487,8 @@
 		a.round = c.round
 		// Another attempt of a task that is to run here makes the worker refuse
 		// the newer one, so it is the listed one that counts.
-		a.launch = t.Attempt
-		if j.state != jobActive || j.done.Has(index) {
+		a.number = t.Attempt
+		if !j.wants(index) {
 			a.stop, a.grace = true, 0
 		}
 		was := a.state
@@ -610,14 +627,10 @@
 	}
 }
 
-// commands puts orders into an answer: forgets first, then stops, then starts.
+// commands puts orders into an answer: stops first, as the answer renews the lease
+// whether all fit or not, then forgets, then starts.
 func (c *Controller) commands(now time.Time, m *machine, seq uint64, authority bool, answer *wire.ReportAnswer) {
 	out := answer.Commands
-	for _, e := range m.exited {
-		if e.forget && len(out) < tuning.AnswerCommands {
-			out = append(out, wire.Command{Op: wire.OpForget, Task: e.task, Attempt: e.attempt})
-		}
-	}
 	zero := 0.0
 	for _, o := range m.orphans {
 		if len(out) < tuning.AnswerCommands {
@@ -630,6 +643,11 @@
 		}
 		out = append(out, a.stopCommand())
 	}
+	for _, e := range m.exited {
+		if e.forget && len(out) < tuning.AnswerCommands {
+			out = append(out, wire.Command{Op: wire.OpForget, Task: e.task, Attempt: e.attempt})
+		}
+	}
 	if authority && !m.releasing {
 		for _, a := range m.attempts {
 			if a.state != ordered || !a.wanted() || a.direct && m.calling || len(out) >= tuning.AnswerCommands {
@@ -659,7 +677,7 @@
 
 // leaseOver reports whether all that the machine may have held is gone.
 func (c *Controller) leaseOver(now time.Time, m *machine) bool {
-	if m.replaced || !m.confirmed && now.Before(c.heirloom) {
+	if m.replaced || !m.confirmed && now.Before(c.inheritedUntil) {
 		return false
 	}
 	return m.answeredAt.IsZero() || now.Sub(m.answeredAt) > c.leaseTime()
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -63,7 +63,7 @@
 		j.startAt = now
 		// The start may go out only once the record of it is durable: a
 		// successor must know which machine to ask for the task.
-		a := &attempt{launch: c.nextLaunch(), state: recording, orderedAt: now}
+		a := &attempt{number: c.nextAttempt(), state: recording, orderedAt: now}
 		c.hold(m, j, index, a)
 		c.logStart(a)
 	}
@@ -399,7 +399,7 @@
 	}
 	ends := m.answeredAt.Add(c.leaseTime())
 	if !m.confirmed {
-		ends = c.heirloom
+		ends = c.inheritedUntil
 	}
 	return slices.ContainsFunc(m.attempts, func(a *attempt) bool {
 		slack, ok := c.slack(now, a.job)
@@ -421,7 +421,7 @@
 	case !m.deafAt.IsZero() && now.Sub(m.deafAt) > c.leaseTime()*3/2:
 		// It can't be told anything; its tasks died with its lease.
 		return true
-	case !m.confirmed && !m.firstHeard.IsZero() && now.After(c.heirloom) && now.Sub(m.firstHeard) > c.leaseTime()+tuning.AbandonAfter:
+	case !m.confirmed && !m.firstHeard.IsZero() && now.After(c.inheritedUntil) && now.Sub(m.firstHeard) > c.leaseTime()+tuning.AbandonAfter:
 		// Heard, but never in this term: it doesn't get our answers. Whatever
 		// it may hold waits for the release, which proves it gone.
 		return true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -191,6 +191,11 @@
 	defer timer.Stop()
 	select {
 	case v := <-result:
+		if !v.Final() && !l.Authority(time.Now()) {
+			// The process may have stood still since, and a successor have told
+			// the user something newer.
+			return peer.Refusal(http.StatusServiceUnavailable, "no longer the leader"), true
+		}
 		return verdictAnswer(c, v), true
 	case <-timer.C:
 	case <-ctx.Done():
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -17,6 +17,12 @@
 	jobs    map[string]*jobTruth
 	on      map[string]string // task -> machine, while it is on it
 	started int
+	// Ended, if set, is told of every job whose last task has just completed.
+	Ended func(id string)
+	// waitsFrom is since when jobs wait although they could start, lookedAt when
+	// that was looked at last.
+	waitsFrom map[string]time.Time
+	lookedAt  time.Time
 }
 
 type jobTruth struct {
@@ -26,6 +32,7 @@
 	cancelledAt time.Time // when its user was told
 	done        bool      // its user was told
 	finished    map[string]bool
+	over        bool // all tasks have completed
 	toldAt      time.Time
 	answeredAt  time.Time // when a question about it was last answered
 }
@@ -71,7 +78,7 @@
 
 // NewRules returns a checker.
 func NewRules(teams []config.Team, cancel time.Duration) *Rules {
-	return &Rules{Teams: teams, Cancel: cancel, jobs: map[string]*jobTruth{}, on: map[string]string{}}
+	return &Rules{Teams: teams, Cancel: cancel, jobs: map[string]*jobTruth{}, on: map[string]string{}, waitsFrom: map[string]time.Time{}}
 }
 
 // Submitted notes that a user submits a job.
@@ -84,12 +91,13 @@
 // AskedCancel notes that a user asks for a job's cancellation.
 func (r *Rules) AskedCancel(id string) { r.jobs[id].askedCancel = true }
 
-// Told checks what a user is told of a job in answer to a request sent at
-// the given time; answers that crossed a newer one say nothing.
-func (r *Rules) Told(now, sent time.Time, id string, status int, state string, submission bool) error {
+// Told checks what a user is told of a job by an answer that left its node at
+// the given time, in the order in which the user has the answers of all nodes; one
+// that left before the user had the last one crossed it, and says nothing.
+func (r *Rules) Told(now, given time.Time, id string, status int, state string, submission bool) error {
 	t := r.jobs[id]
 	if t != nil {
-		if sent.Before(t.toldAt) {
+		if given.Before(t.toldAt) {
 			return nil
 		}
 		defer func() { t.toldAt = now }()
@@ -139,7 +147,13 @@
 		for _, t := range w.sorted() {
 			if t.State == wire.TaskExited && t.Why == wire.WhyDone {
 				id, _, _ := wire.SplitTask(t.Name)
-				r.jobs[id].finished[t.Name] = true
+				truth := r.jobs[id]
+				if truth.finished[t.Name] = true; len(truth.finished) == truth.job.Tasks && !truth.over {
+					truth.over = true
+					if r.Ended != nil {
+						r.Ended(id)
+					}
+				}
 			}
 			if !t.On() {
 				continue
@@ -230,5 +244,121 @@
 	return out
 }
 
+// Ordered checks the commands that a controller gives now: no start of a job whose
+// user was told that it is cancelled.
+func (r *Rules) Ordered(now time.Time, commands []wire.Command) error {
+	for _, c := range commands {
+		id, _, _ := wire.SplitTask(c.Task)
+		if t := r.jobs[id]; c.Op == wire.OpStart && t != nil && !t.cancelledAt.IsZero() {
+			return fmt.Errorf("started_cancelled: a start of %s is ordered %v after the confirmation", c.Task, now.Sub(t.cancelledAt))
+		}
+	}
+	return nil
+}
+
+// longestWait is for how long a job may wait while it could start, once all
+// troubles are over.
+const longestWait = 90 * time.Second
+
+// LeftWaiting finds a job that has waited for long, without any start, while a
+// machine that fits had room and its team was under its limit. It is to be asked
+// only once all troubles are over, and looks once a second.
+func (r *Rules) LeftWaiting(now time.Time, workers []*Worker) error {
+	if now.Sub(r.lookedAt) < time.Second {
+		return nil
+	}
+	r.lookedAt = now
+	placed := map[string]map[string]bool{} // by job, also those whose image is fetched
+	used := map[string]float64{}
+	zones := map[string]map[string]int{}
+	free := map[*Worker][2]float64{}
+	for _, w := range workers {
+		room := [2]float64{w.Type.CPUs, w.Type.MemoryGB}
+		for _, t := range w.Tasks {
+			if t.State == wire.TaskExited {
+				continue
+			}
+			id, _, _ := wire.SplitTask(t.Name)
+			j := r.jobs[id].job
+			if placed[id] == nil {
+				placed[id], zones[id] = map[string]bool{}, map[string]int{}
+			}
+			placed[id][t.Name] = true
+			zones[id][w.Offer.Zone]++
+			used[j.Team] += j.CPUs
+			room[0] -= j.CPUs
+			room[1] -= j.MemoryGB
+		}
+		free[w] = room
+	}
+	for id, t := range r.jobs {
+		waits := t.accepted && !t.askedCancel && !t.over && r.over(t.job.Needs) && len(placed[id]) == 0
+		fits := func(w *Worker) bool {
+			j, room := t.job, free[w]
+			return !w.Faulty && w.Notice == nil && !now.After(w.LeaseEnd) &&
+				(j.Spot || !w.Offer.Spot) && (j.Zone == "" || j.Zone == w.Offer.Zone) &&
+				(len(j.Types) == 0 || slices.Contains(j.Types, w.Offer.Type)) &&
+				room[0] >= j.CPUs && room[1] >= j.MemoryGB
+		}
+		if !waits || !r.underLimit(t.job, used) || !slices.ContainsFunc(workers, fits) {
+			delete(r.waitsFrom, id)
+			continue
+		}
+		since, ok := r.waitsFrom[id]
+		if !ok {
+			r.waitsFrom[id] = now
+		} else if now.Sub(since) > longestWait {
+			return fmt.Errorf("left_waiting: %s for %v, though a machine has room", id, now.Sub(since))
+		}
+	}
+	return nil
+}
+
+// underLimit reports whether one more task of a job fits into its team's limit.
+func (r *Rules) underLimit(j *wire.Job, used map[string]float64) bool {
+	return slices.ContainsFunc(r.Teams, func(t config.Team) bool {
+		return t.Name == j.Team && used[t.Name]+j.CPUs <= t.CPUsMax
+	})
+}
+
+// Holders lists the machines that tasks of a job are on.
+func (r *Rules) Holders(id string) []string {
+	var out []string
+	for task, machine := range r.on {
+		if job, _, _ := wire.SplitTask(task); job == id && !slices.Contains(out, machine) {
+			out = append(out, machine)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Holds reports whether a task is on a machine.
+func (r *Rules) Holds(machine string) bool {
+	for _, m := range r.on {
+		if m == machine {
+			return true
+		}
+	}
+	return false
+}
+
+// Cancelled is the number of jobs whose users were told that they are cancelled.
+func (r *Rules) Cancelled() int {
+	n := 0
+	for _, t := range r.jobs {
+		if !t.cancelledAt.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// CalledOff reports whether a job's user has asked for its cancellation.
+func (r *Rules) CalledOff(id string) bool { return r.jobs[id].askedCancel }
+
+// KnownDone reports whether a job's user was told that it is done.
+func (r *Rules) KnownDone(id string) bool { return r.jobs[id].done }
+
 // Started is the number of starts seen.
 func (r *Rules) Started() int { return r.started }
--- /dev/null
+++ b/internal/standin/users.go
@@ -0,0 +1,265 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+
+	"switchshore.example/switchshore/internal/controller"
+	"switchshore.example/switchshore/wire"
+)
+
+// Submit lets a user submit a job once those that it needs are accepted, repeat
+// the request until it is answered, and poll.
+func (w *World) Submit(after time.Duration, j *wire.Job, cancelAfter time.Duration) {
+	w.after(after, func() {
+		if !w.Rules.Accepted(j.Needs) {
+			w.Submit(time.Second, j, cancelAfter)
+			return
+		}
+		w.jobs[j.ID] = j
+		w.order = append(w.order, j)
+		w.Rules.Submitted(j)
+		w.submit(j)
+		w.poll(j)
+		if cancelAfter > 0 {
+			w.after(cancelAfter, func() { w.callOff(j) })
+		}
+	})
+}
+
+// callOff lets a user ask for a job's cancellation until it is answered.
+func (w *World) callOff(j *wire.Job) {
+	w.Rules.AskedCancel(j.ID)
+	w.cancel(j)
+}
+
+// anyNode is where the load balancer sends a user.
+func (w *World) anyNode() *node { return w.nodes[w.rng.IntN(len(w.nodes))] }
+
+// request is one question of a user at a node.
+type request struct {
+	job        *wire.Job
+	submission bool
+	send       func(n *node, then func(controller.Verdict))
+	done       func(controller.Verdict)
+}
+
+// ask sends a request to a node and tells the rules what the user hears. As in
+// the real node, an answer that is not final leaves the leader only while it
+// still has authority: it may have stood still since it found it.
+func (w *World) ask(target *node, r request) {
+	answered := false
+	finish := func(v controller.Verdict) {
+		if !answered {
+			answered = true
+			r.done(v)
+		}
+	}
+	w.at(target, w.between(1, 20), func() {
+		if w.parted(target.zone, "") {
+			return
+		}
+		n := w.leaderFor(target)
+		if n == nil {
+			w.after(w.between(1, 20), func() { finish(controller.Verdict{Status: 503}) })
+			return
+		}
+		term := n.term
+		r.send(n, func(v controller.Verdict) {
+			w.at(n, w.between(0, 2), func() {
+				if !v.Final() && !term.Authority(w.clock(n)) {
+					v = controller.Verdict{Status: 503}
+				}
+				given := w.now
+				w.after(w.between(1, 20), func() {
+					if answered {
+						return
+					}
+					if err := w.Rules.Told(w.now, given, r.job.ID, v.Status, v.State, r.submission); err != nil && w.err == nil {
+						w.err = err
+					}
+					finish(v)
+					w.news(r.job, v)
+				})
+			})
+		})
+	})
+	w.after(5*time.Second, func() { finish(controller.Verdict{Status: 504}) })
+}
+
+// submission is the request to take a job.
+func (w *World) submission(j *wire.Job, done func(controller.Verdict)) request {
+	return request{j, true, func(n *node, then func(controller.Verdict)) {
+		if n.former && len(j.Needs) > 0 {
+			// As forwarded by a node of a later version.
+			then(controller.Verdict{Status: 503})
+			return
+		}
+		n.picture.Submit(w.clock(n), w.now, j, then)
+	}, done}
+}
+
+func (w *World) submit(j *wire.Job) {
+	w.ask(w.anyNode(), w.submission(j, func(v controller.Verdict) {
+		if v.Status/100 != 2 || w.chance(0.05) {
+			w.after(w.between(1000, 5000), func() { w.submit(j) })
+		}
+	}))
+}
+
+// cancellation is the request to cancel a job.
+func (w *World) cancellation(j *wire.Job, done func(controller.Verdict)) request {
+	return request{j, false, func(n *node, then func(controller.Verdict)) {
+		n.picture.Cancel(w.clock(n), j.ID, then)
+	}, done}
+}
+
+func (w *World) cancel(j *wire.Job) {
+	w.ask(w.anyNode(), w.cancellation(j, func(v controller.Verdict) {
+		if v.Status/100 != 2 {
+			w.after(w.between(1000, 3000), func() { w.cancel(j) })
+		}
+	}))
+}
+
+// question asks for a job's state.
+func (w *World) question(j *wire.Job, done func(controller.Verdict)) request {
+	return request{j, false, func(n *node, then func(controller.Verdict)) {
+		then(n.picture.Query(j.ID))
+	}, done}
+}
+
+func (w *World) poll(j *wire.Job) {
+	w.ask(w.anyNode(), w.question(j, func(controller.Verdict) {
+		w.after(w.between(3000, 6000), func() { w.poll(j) })
+	}))
+}
+
+// nobody is who has no use for an answer; the rules are told of it all the same.
+func nobody(controller.Verdict) {}
+
+// CloseLooks lets users, for a time, ask at all nodes within milliseconds of
+// hearing that a job was accepted, done or cancelled, repeat the submission, and
+// call some jobs off right after the acceptance.
+func (w *World) CloseLooks(span time.Duration) { w.looksUntil = w.now.Add(span) }
+
+// news is told of every answer that a user gets.
+func (w *World) news(j *wire.Job, v controller.Verdict) {
+	if v.Status/100 != 2 || !w.now.Before(w.looksUntil) || w.jobs[j.ID] != j {
+		return
+	}
+	state := v.State
+	if state == wire.JobRunning {
+		state = wire.JobQueued // accepted
+	}
+	seen := j.ID + " " + state
+	if w.looked[seen] {
+		return
+	}
+	w.looked[seen] = true
+	w.Met["close look"]++
+	for range 3 {
+		for _, n := range w.nodes {
+			w.after(w.between(0, 30), func() { w.ask(n, w.question(j, nobody)) })
+		}
+	}
+	w.after(w.between(0, 10), func() { w.ask(w.anyNode(), w.submission(j, nobody)) })
+	if state == wire.JobQueued && w.chance(0.1) {
+		w.callOff(j)
+	}
+}
+
+// CancelAtEnd lets users, for a time, call a share of the jobs off at the moment
+// at which their last task ends.
+func (w *World) CancelAtEnd(share float64, span time.Duration) {
+	until := w.now.Add(span)
+	w.Rules.Ended = func(id string) {
+		if w.now.Before(until) && w.chance(share) {
+			w.Met["cancelled at the end"]++
+			w.after(w.between(0, 200), func() { w.callOff(w.jobs[id]) })
+		}
+	}
+}
+
+// CancelNow lets users call off, within a fifth of a second, so many jobs that
+// have tasks on machines; up to eight of these machines hang for a time.
+func (w *World) CancelNow(count int, hang time.Duration) {
+	hung := map[string]bool{}
+	for _, j := range w.order {
+		if count == 0 {
+			return
+		}
+		machines := w.Rules.Holders(j.ID)
+		if len(machines) == 0 || w.Rules.CalledOff(j.ID) {
+			continue
+		}
+		count--
+		w.Met["cancelled while running"]++
+		w.after(w.between(0, 200), func() { w.callOff(j) })
+		for _, id := range machines {
+			if hang > 0 && len(hung) < 8 && w.workers[id] != nil {
+				hung[id] = true
+				w.workers[id].hung = w.now.Add(hang)
+			}
+		}
+	}
+}
+
+// OddRequests lets users, for a time, repeat submissions, cancel jobs that are
+// done, ask for and cancel jobs that nobody submitted, and submit some that can
+// never run.
+func (w *World) OddRequests(span time.Duration) {
+	until := w.now.Add(span)
+	number := 900_000
+	var next func()
+	next = func() {
+		if !w.now.Before(until) {
+			return
+		}
+		w.after(w.between(100, 700), next)
+		number++
+		w.Met["odd request"]++
+		odd := &wire.Job{
+			ID: fmt.Sprintf("job-%06d", number), Class: "c", Team: "blue", Kind: wire.KindArray,
+			Priority: wire.PriorityNormal, Tasks: 2, CPUs: 1, MemoryGB: 1, Image: "img-0", Spot: true,
+		}
+		// only allows the answers given, or none.
+		only := func(statuses ...int) func(controller.Verdict) {
+			return func(v controller.Verdict) {
+				for _, s := range append(statuses, 503, 504) {
+					if v.Status == s {
+						return
+					}
+				}
+				if w.err == nil {
+					w.err = fmt.Errorf("bad input: %s answered %d instead of %v", odd.ID, v.Status, statuses)
+				}
+			}
+		}
+		switch w.rng.IntN(7) {
+		case 0:
+			odd.Team = "nobody's"
+			w.ask(w.anyNode(), w.submission(odd, only(422)))
+		case 1:
+			odd.CPUs = 1000
+			w.ask(w.anyNode(), w.submission(odd, only(422)))
+		case 2:
+			odd.Zone = "nowhere"
+			w.ask(w.anyNode(), w.submission(odd, only(422)))
+		case 3:
+			w.ask(w.anyNode(), w.question(odd, only(404)))
+		case 4:
+			w.ask(w.anyNode(), w.cancellation(odd, only(404)))
+		default:
+			if len(w.order) == 0 {
+				return
+			}
+			j := w.order[w.rng.IntN(len(w.order))]
+			w.ask(w.anyNode(), w.submission(j, nobody))
+			if w.Rules.KnownDone(j.ID) {
+				w.ask(w.anyNode(), w.cancellation(j, nobody))
+			}
+		}
+	}
+	next()
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -220,6 +220,8 @@
 	Type     wire.MachineType
 	Capacity int // machines an offer can hold at once
 	Down     bool
+	// FastUntil: machines rented before then are up within two seconds.
+	FastUntil time.Time
 
 	rows    map[string]*cloudRow
 	answers map[string][]string
@@ -260,6 +262,9 @@
 		if rng.IntN(20) == 0 {
 			boot = 1000 * time.Hour
 		}
+		if now.Before(c.FastUntil) {
+			boot = time.Duration(200+rng.IntN(1800)) * time.Millisecond
+		}
 		c.rows[id] = &cloudRow{wire.ListedMachine{
 			Name: id, Addr: id, Type: r.Type, Zone: r.Zone, Spot: r.Spot, State: wire.MachineBooting,
 		}, now, now.Add(boot)}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -46,6 +46,19 @@
 	// A zone is cut off from everything until then; inside it goes on.
 	cutZone      string
 	cutZoneUntil time.Time
+
+	order                                               []*wire.Job // as submitted
+	downUntil                                           time.Time   // the state service
+	looksUntil                                          time.Time
+	looked                                              map[string]bool // news at which users have looked closely
+	writesLost, writesLate, reportsLate, reportsForNext shareUntil
+	// kept are copies of reports for the next leader.
+	kept []func(*node)
+	// links are slow until then.
+	slowLinks time.Time
+	// Met counts what has happened, by name: a test of a meeting that did not
+	// come about would show nothing.
+	Met map[string]int
 }
 
 // maxSpan is the time after calm in which the last troubles end.
@@ -88,6 +101,7 @@
 	writer   *store.Writer
 	batch    *controller.Batch
 	cutState time.Time // no way to the state service until then
+	refused  time.Time // the state service answers 503 to this node until then
 	frozen   time.Time // stands still until then, while its clocks run on
 	former   bool      // runs the version before the chained jobs
 }
@@ -100,6 +114,7 @@
 	nextAt   time.Time
 	cutUntil time.Time
 	deafTo   time.Time // its reports arrive, answers and commands don't
+	muteTo   time.Time // it reaches no controller, direct commands reach it
 	hung     time.Time
 	gone     bool
 }
@@ -118,6 +133,8 @@
 		workers: map[string]*worker{},
 		jobs:    map[string]*wire.Job{},
 		split:   map[[2]int]bool{},
+		looked:  map[string]bool{},
+		Met:     map[string]int{},
 	}
 	for i := range nodes {
 		n := &node{id: i, name: fmt.Sprintf("node-%d", i), zone: t.Zones[i%len(t.Zones)], up: true, drift: (w.rng.Float64() - 0.5) * 0.001}
@@ -188,7 +205,9 @@
 			w.err = w.Rules.Check(w.now, ws)
 		}
 		if settled := w.calm.Add(maxSpan); w.err == nil && w.now.After(settled) {
-			w.err = w.Rules.Forgotten(w.now, settled)
+			if w.err = w.Rules.Forgotten(w.now, settled); w.err == nil {
+				w.err = w.Rules.LeftWaiting(w.now, ws)
+			}
 		}
 	}
 	if w.err != nil {
@@ -227,6 +246,10 @@
 		})
 		return
 	}
+	if w.now.Before(n.refused) {
+		answer(w.between(1, 20), store.ErrRefused)
+		return
+	}
 	if w.now.Before(n.cutState) {
 		if w.chance(0.5) {
 			// Held back and delivered when the cut ends, or a good while later.
@@ -246,10 +269,34 @@
 			answer(tuning.StoreTimeout, httpc.ErrNoAnswer)
 			return
 		}
+		if errors.Is(err, httpc.ErrNoAnswer) {
+			answer(tuning.StoreTimeout, err)
+			return
+		}
 		answer(w.between(1, 20), err)
 	})
 }
 
+// transact sends a transaction. Its answer may be lost though it is carried out
+// at once, or it may be carried out late, after newer ones of the same node.
+func (w *World) transact(n *node, txn wire.Txn, done func(wire.TxnResult, error)) {
+	var res wire.TxnResult
+	w.toState(n, func() (err error) {
+		switch {
+		case w.befalls(w.writesLost):
+			w.Met["answer lost"]++
+			_, _ = w.State.Commit(txn)
+			return httpc.ErrNoAnswer
+		case w.befalls(w.writesLate):
+			w.Met["late transaction"]++
+			w.after(w.between(2000, 12_000), func() { _, _ = w.State.Commit(txn) })
+			return httpc.ErrNoAnswer
+		}
+		res, err = w.State.Commit(txn)
+		return err
+	}, func(err error) { done(res, err) })
+}
+
 func (w *World) troubled() bool { return w.Roughness > 0 && w.now.Before(w.calm) }
 
 // nodeStep campaigns or renews.
@@ -301,23 +348,43 @@
 	_ = json.Unmarshal(term.Value, &rec)
 	sent := w.clock(n)
 	var lease uint64
-	var res wire.TxnResult
 	// A campaign may be carried out late, even after its process has ended.
 	n.nonce = w.rng.Uint64()
 	record := election.LeaderRecord{Node: n.name, Nonce: n.nonce}
+	won := func(version uint64) {
+		w.load(n, election.NewLeadership(rec.Term+1, sent), lease, version)
+		again(tuning.RenewEvery)
+	}
 	w.toState(n, func() (err error) {
-		if lease, err = w.State.Grant(w.now, tuning.LeaderTTL); err != nil {
-			return err
-		}
-		res, err = w.State.Commit(election.CampaignTxn(record, rec.Term+1, lease, leaderVersion, term.Version))
+		lease, err = w.State.Grant(w.now, tuning.LeaderTTL)
 		return err
 	}, func(err error) {
 		if err != nil {
 			again(tuning.CampaignRetry)
 			return
 		}
-		w.load(n, election.NewLeadership(rec.Term+1, sent), lease, res.Revision)
-		again(tuning.RenewEvery)
+		w.transact(n, election.CampaignTxn(record, rec.Term+1, lease, leaderVersion, term.Version), func(res wire.TxnResult, err error) {
+			switch {
+			case err == nil:
+				won(res.Revision)
+			case errors.Is(err, httpc.ErrNoAnswer):
+				// Settled by reading.
+				var got wire.Item
+				w.toState(n, func() (err error) {
+					got, err = w.State.Get(store.KeyLeader)
+					return err
+				}, func(err error) {
+					var holder election.LeaderRecord
+					if err == nil && json.Unmarshal(got.Value, &holder) == nil && holder == record {
+						won(got.Version)
+						return
+					}
+					again(tuning.CampaignRetry)
+				})
+			default:
+				again(tuning.CampaignRetry)
+			}
+		})
 	})
 }
 
@@ -353,11 +420,18 @@
 		p.Loaded(w.clock(n))
 		p.SetTypes([]wire.MachineType{w.Cloud.Type})
 		n.picture = p
+		w.Met["term"]++
 		n.writer = store.NewWriter(l.Term, version, version)
 		n.batch = nil
 		w.pump(n, p)
 		w.tick(n, p)
 		w.list(n, p)
+		for _, deliver := range w.kept {
+			for _, at := range w.nodes {
+				w.at(at, w.between(0, 50), func() { deliver(at) })
+			}
+		}
+		w.kept = nil
 	})
 }
 
@@ -395,12 +469,7 @@
 		}
 		n.writer.Begin(writes)
 	}
-	var res wire.TxnResult
-	txn := n.writer.Txn()
-	w.toState(n, func() (err error) {
-		res, err = w.State.Commit(txn)
-		return err
-	}, func(err error) {
+	w.transact(n, n.writer.Txn(), func(res wire.TxnResult, err error) {
 		if n.picture == p {
 			w.outcome(n, p, n.writer.Answer(res, err))
 		}
@@ -500,6 +569,9 @@
 			}
 		})
 	}
+	if err := w.Rules.Ordered(w.now, call.Request.Commands); err != nil && w.err == nil {
+		w.err = err
+	}
 	m := w.workers[call.Machine]
 	deliver := func(late bool) *wire.Report {
 		to := w.workers[call.Machine]
@@ -612,6 +684,13 @@
 	if m.inFlight || !due || w.now.Before(m.hung) {
 		return
 	}
+	if w.now.Before(m.muteTo) {
+		// No connection: it tries the next node a second later.
+		w.Met["mute"]++
+		m.target = (m.target + 1) % len(w.nodes)
+		m.nextAt = w.now.Add(time.Second)
+		return
+	}
 	r := m.Report()
 	m.Changed = false
 	sent := w.now
@@ -629,14 +708,33 @@
 		}
 	}
 	w.after(4*time.Second, fail)
-	deliver := func() {
-		n := w.handler(target)
+	// hand gives the report, or a copy of it, to a node. Nobody waits for the
+	// answer to a copy.
+	hand := func(at *node, copied bool) {
+		n := w.handler(at)
 		if n == nil {
-			w.after(w.between(1, 20), fail)
+			if !copied {
+				w.after(w.between(1, 20), fail)
+			}
 			return
 		}
 		now := w.clock(n)
-		a, receipt := n.picture.Report(now, r, n.term.Authority(now))
+		authority := n.term.Authority(now)
+		a, receipt := n.picture.Report(now, r, authority)
+		switch {
+		case copied && receipt == controller.Stale:
+			w.Met["stale copy"]++
+		case copied:
+			w.Met["copy first heard"]++
+		case !authority && receipt == controller.Taken:
+			w.Met["answered in grace"]++
+		}
+		if err := w.Rules.Ordered(w.now, a.Commands); err != nil && w.err == nil {
+			w.err = err
+		}
+		if copied {
+			return
+		}
 		if receipt != controller.Taken {
 			w.after(w.between(1, 20), fail)
 			return
@@ -644,7 +742,7 @@
 		if w.troubled() && w.chance(0.02) {
 			return
 		}
-		w.at(n, w.between(1, 50), func() {
+		w.at(n, w.link(), func() {
 			if answered || m.gone || w.parted(target.zone, m.Offer.Zone) || w.now.Before(m.cutUntil) || w.now.Before(m.deafTo) || w.now.Before(m.hung) {
 				return
 			}
@@ -653,6 +751,7 @@
 			m.Answer(w.now, sent, r.Session, a)
 		})
 	}
+	deliver := func() { hand(target, false) }
 	if parted := w.parted(target.zone, m.Offer.Zone); parted || w.now.Before(m.cutUntil) {
 		until := m.cutUntil
 		if parted {
@@ -663,11 +762,25 @@
 		}
 		return
 	}
-	w.at(target, w.between(1, 50), deliver)
+	w.at(target, w.link(), deliver)
 	if w.troubled() && w.chance(0.02) {
 		// A late copy, by up to several leases.
 		w.after(w.between(100, 90_000), deliver)
 	}
+	if w.befalls(w.reportsLate) {
+		w.after(w.between(2000, int(3000*w.Params.Workers.LeaseS)), func() { hand(target, true) })
+	}
+	if w.befalls(w.reportsForNext) {
+		w.kept = append(w.kept, func(at *node) { hand(at, true) })
+	}
+}
+
+// link is the time that a message between a worker and a node takes.
+func (w *World) link() time.Duration {
+	if w.now.Before(w.slowLinks) {
+		return w.between(200, 1800)
+	}
+	return w.between(1, 50)
 }
 
 // route finds the node whose picture answers for a request at target.
@@ -699,94 +812,6 @@
 	return w.route(target, func(n *node) bool { return n.term.Authority(w.clock(n)) })
 }
 
-// Submit lets a user submit a job once those that it needs are accepted, repeat
-// the request until it is answered, and poll.
-func (w *World) Submit(after time.Duration, j *wire.Job, cancelAfter time.Duration) {
-	w.after(after, func() {
-		if !w.Rules.Accepted(j.Needs) {
-			w.Submit(time.Second, j, cancelAfter)
-			return
-		}
-		w.jobs[j.ID] = j
-		w.Rules.Submitted(j)
-		w.submit(j)
-		w.poll(j)
-		if cancelAfter > 0 {
-			w.after(cancelAfter, func() {
-				w.Rules.AskedCancel(j.ID)
-				w.cancel(j)
-			})
-		}
-	})
-}
-
-func (w *World) ask(j *wire.Job, submission bool, send func(n *node, then func(controller.Verdict)), done func(controller.Verdict)) {
-	target := w.nodes[w.rng.IntN(len(w.nodes))]
-	answered := false
-	sent := w.now
-	w.at(target, w.between(1, 20), func() {
-		if w.parted(target.zone, "") {
-			return
-		}
-		n := w.leaderFor(target)
-		if n == nil {
-			answered = true
-			w.after(w.between(1, 20), func() { done(controller.Verdict{Status: 503}) })
-			return
-		}
-		send(n, func(v controller.Verdict) {
-			w.at(n, w.between(1, 20), func() {
-				if !answered {
-					answered = true
-					if err := w.Rules.Told(w.now, sent, j.ID, v.Status, v.State, submission); err != nil && w.err == nil {
-						w.err = err
-					}
-					done(v)
-				}
-			})
-		})
-	})
-	w.after(5*time.Second, func() {
-		if !answered {
-			answered = true
-			done(controller.Verdict{Status: 504})
-		}
-	})
-}
-
-func (w *World) submit(j *wire.Job) {
-	w.ask(j, true, func(n *node, then func(controller.Verdict)) {
-		if n.former && len(j.Needs) > 0 {
-			// As forwarded by a node of a later version.
-			then(controller.Verdict{Status: 503})
-			return
-		}
-		n.picture.Submit(w.clock(n), w.now, j, then)
-	}, func(v controller.Verdict) {
-		if v.Status/100 != 2 || w.chance(0.05) {
-			w.after(w.between(1000, 5000), func() { w.submit(j) })
-		}
-	})
-}
-
-func (w *World) cancel(j *wire.Job) {
-	w.ask(j, false, func(n *node, then func(controller.Verdict)) {
-		n.picture.Cancel(w.clock(n), j.ID, then)
-	}, func(v controller.Verdict) {
-		if v.Status/100 != 2 {
-			w.after(w.between(1000, 3000), func() { w.cancel(j) })
-		}
-	})
-}
-
-func (w *World) poll(j *wire.Job) {
-	w.ask(j, false, func(n *node, then func(controller.Verdict)) {
-		then(n.picture.Query(j.ID))
-	}, func(controller.Verdict) {
-		w.after(w.between(3000, 6000), func() { w.poll(j) })
-	})
-}
-
 // upgrade brings the nodes that still run the former version back with the
 // present one.
 func (w *World) upgrade() {
@@ -818,153 +843,3 @@
 	w.State.Limits = w.Params.State
 	w.after(after, func() { w.State.Limits = w.Params.State.Tightest() })
 }
-
-// Trouble is a kind of trouble.
-type Trouble int
-
-// Troubles.
-const (
-	NodeCrash        Trouble = iota
-	NodesCrash               // all at once
-	NodesFlap                // back within a fraction of a second, also amid an election, and down again
-	StateOutage              // for all
-	StateRefused             // for one node
-	StateSlow                // for all
-	LeaderCut                // the leader loses the state service
-	LeaderFrozen             // the leader stands still while its clocks run on
-	LeaderIsolated           // and the other controllers, but not its workers
-	NodesApart               // two can't reach each other
-	ZoneCut                  // a zone is cut off from everything, messages are held
-	MachineCut               // no network; messages may come late
-	MachineDeaf              // its reports arrive, answers and commands don't get there
-	MachineHangs             // and goes on later
-	MachineGone              // it dies, or is taken without a notice
-	MachinesTaken            // spot machines, with a notice
-	WorkerReplaced           // a new worker on the same machine knows nothing
-	numberOfTroubles = iota
-)
-
-// Troubles draws what goes wrong until calm, of the given kinds or of all.
-func (w *World) Troubles(kinds ...Trouble) {
-	var next func()
-	next = func() {
-		if !w.troubled() {
-			return
-		}
-		kind := Trouble(w.rng.IntN(numberOfTroubles))
-		if len(kinds) > 0 {
-			kind = kinds[w.rng.IntN(len(kinds))]
-		}
-		w.happen(kind)
-		w.after(time.Duration(float64(w.between(1000, 30_000))/w.Roughness), next)
-	}
-	w.after(w.between(1000, 20_000), next)
-}
-
-// happen lets a trouble begin, at a place and for a time that are drawn.
-func (w *World) happen(kind Trouble) {
-	n := w.nodes[w.rng.IntN(len(w.nodes))]
-	names := w.names()
-	var m *worker
-	if len(names) > 0 {
-		m = w.workers[names[w.rng.IntN(len(names))]]
-	}
-	if m == nil && kind >= MachineCut {
-		return
-	}
-	span := w.between(1000, 40_000)
-	leaders := func(do func(*node)) {
-		for _, n := range w.nodes {
-			if n.picture != nil {
-				do(n)
-			}
-		}
-	}
-	switch kind {
-	case NodeCrash:
-		w.crash(n, w.between(50, 5000))
-	case NodesCrash:
-		for _, n := range w.nodes {
-			w.crash(n, w.between(50, 5000))
-		}
-	case NodesFlap:
-		for range 4 {
-			w.after(w.between(0, 4000), func() { w.crash(n, w.between(1, 300)) })
-		}
-	case StateOutage:
-		w.State.Down = true
-		w.after(span, func() { w.State.Down = false })
-	case StateRefused:
-		n.cutState = w.now.Add(span)
-	case LeaderCut:
-		leaders(func(n *node) { n.cutState = w.now.Add(span) })
-	case StateSlow:
-		w.slow = w.now.Add(span)
-	case LeaderFrozen:
-		leaders(func(n *node) { n.frozen = w.now.Add(span) })
-	case ZoneCut:
-		w.cutZone, w.cutZoneUntil = w.Cloud.Type.Zones[w.rng.IntN(len(w.Cloud.Type.Zones))], w.now.Add(span)
-		for _, n := range w.nodes {
-			if n.zone == w.cutZone {
-				n.cutState = w.cutZoneUntil
-			}
-		}
-	case LeaderIsolated:
-		leaders(func(n *node) { w.isolate(n, span) })
-	case NodesApart:
-		w.part(n, w.nodes[w.rng.IntN(len(w.nodes))], span)
-	case MachineCut:
-		m.cutUntil = w.now.Add(span)
-	case MachineDeaf:
-		m.deafTo = w.now.Add(2 * span)
-	case MachineHangs:
-		m.hung = w.now.Add(span)
-	case MachineGone:
-		w.remove(m.ID)
-	case MachinesTaken:
-		for _, id := range names {
-			if m := w.workers[id]; m.Offer.Spot && w.chance(0.5) {
-				notice := 5.0
-				m.Notice, m.Changed = &notice, true
-				w.after(w.between(2500, 7500), func() { w.remove(id) })
-			}
-		}
-	case WorkerReplaced:
-		w.restart(m)
-	}
-}
-
-// part keeps two nodes from reaching each other.
-func (w *World) part(a, b *node, span time.Duration) {
-	pair := [2]int{min(a.id, b.id), max(a.id, b.id)}
-	w.split[pair] = true
-	w.after(span, func() { delete(w.split, pair) })
-}
-
-// isolate cuts a node off from the state service and all other nodes.
-func (w *World) isolate(n *node, span time.Duration) {
-	n.cutState = w.now.Add(span)
-	for _, other := range w.nodes {
-		if n != other {
-			w.part(n, other, span)
-		}
-	}
-}
-
-// crash ends a process and starts it again.
-func (w *World) crash(n *node, down time.Duration) {
-	if !n.up {
-		return
-	}
-	n.up = false
-	n.life++
-	n.frozen = time.Time{}
-	n.term, n.picture, n.writer, n.batch = nil, nil, nil, nil
-	w.after(down, func() {
-		if w.troubled() && w.chance(w.Flips) {
-			n.former = !n.former
-		}
-		n.up = true
-		w.nodeStep(n, n.life)
-	})
-}
