--- a/internal/controller/chain.go
+++ b/internal/controller/chain.go
@@ -73,7 +73,7 @@
 	for ; steps > 0 && len(c.doomed) > 0; steps-- {
 		j := c.doomed[0]
 		c.doomed = c.doomed[1:]
-		c.doom(j)
+		c.doom(now, j)
 	}
 	for ; steps > 0 && len(c.freed) > 0; steps-- {
 		j := c.freed[0]
@@ -97,7 +97,7 @@
 
 // doom cancels a job that needs one that was cancelled; those that need it
 // follow at once, as the first cancellation is durable.
-func (c *Controller) doom(j *job) {
+func (c *Controller) doom(now time.Time, j *job) {
 	if j.state == jobCancelled || j.state == jobDone {
 		return
 	}
@@ -106,7 +106,7 @@
 	if !j.stored {
 		queue = &c.urgent // behind the acceptance; its user hears of both at once
 	}
-	c.end(j, jobCancelled, queue)
+	c.end(now, j, jobCancelled, queue)
 	c.settle(j.ID, final{how: finalCancelled})
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -139,6 +139,14 @@
 	return max(0, min(seconds(w.LeaseS), seconds(w.CancelS-w.LeaseS)-tuning.GraceReserve))
 }
 
+// lateStartBound is how long after the end of a job a machine may still be
+// answered on which a start of that job may come late: the rest of its lease ends
+// within the time for cancellations, with the same reserve, and with its session
+// the start is void, even if nobody can release the machine.
+func lateStartBound(w config.Workers) time.Duration {
+	return max(0, min(seconds(w.CancelS)/tuning.FenceParts, seconds(w.CancelS-w.LeaseS)-tuning.GraceReserve))
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // leaseTime is the time after which a worker's lease has provably run out.
@@ -204,10 +212,11 @@
 	// that it needs was done.
 	since time.Time
 	// level is its priority, or that of a job that needs it, if higher.
-	level int
-	path  path
-	state jobState
-	open  int // jobs that it needs and that are not over
+	level   int
+	path    path
+	state   jobState
+	endedAt time.Time // when its end was decided, in this term
+	open    int       // jobs that it needs and that are not over
 	// doomed: a job that it needs was cancelled, and so will it be.
 	doomed  bool
 	tangled bool // its path can't be derived: damaged records lead in a circle
@@ -358,7 +367,7 @@
 		}
 	})
 	if j.doomed {
-		c.doom(j)
+		c.doom(now, j)
 	}
 }
 
@@ -435,14 +444,14 @@
 		// A submission still waiting hears of its acceptance, as that is
 		// written first, or of the end.
 		j.waiting = append(j.waiting, func(ok bool) { then(c.accepted(ok, id, 200)) })
-		c.end(j, jobCancelled, &c.urgent)
+		c.end(now, j, jobCancelled, &c.urgent)
 	}
 }
 
 // end decides how a job ends and writes its final state; only then is it told
 // to anyone, and followed by what it means for the jobs that need this one.
-func (c *Controller) end(j *job, state jobState, queue *writeQueue) {
-	j.state = state
+func (c *Controller) end(now time.Time, j *job, state jobState, queue *writeQueue) {
+	j.state, j.endedAt = state, now
 	j.ready = nil
 	delete(c.dirty, j)
 	delete(c.live, j)
@@ -490,7 +499,7 @@
 		return
 	}
 	if j.done.Full() {
-		c.end(j, jobDone, &c.urgent)
+		c.end(now, j, jobDone, &c.urgent)
 		return
 	}
 	j.chunks[int(index)/c.doneChunk()] = true
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -512,6 +512,59 @@
 	t.Fatal("not released")
 }
 
+// TestLateStartOfEndedJobEndsItsSession: a machine to which a start of a cancelled
+// job may come late, and that nobody can release as the state service is away, is
+// not answered any more once its lease would outlast the time for the cancellation,
+// until its worker is in a new session, in which the start is void.
+func TestLateStartOfEndedJobEndsItsSession(t *testing.T) {
+	l, call, _ := called(t)
+	l.DirectDone(l.now, call, controller.DirectUnknown, nil)
+	l.Cancel(l.now, "job-1", func(controller.Verdict) {})
+	l.commit()
+	asked, last := l.now, l.now
+	report := func(session uint64) controller.Receipt {
+		l.seq++
+		_, receipt := l.Report(l.now, &wire.Report{Machine: "m1", Addr: "m1:9", Type: "std-8", Zone: "a", Session: session, Seq: l.seq, Token: l.Term()}, false)
+		return receipt
+	}
+	for l.now.Sub(asked) < 60*time.Second {
+		if report(1) == controller.Taken {
+			last = l.now
+		}
+		l.now = l.now.Add(time.Second)
+		l.Tick(l.now, false)
+	}
+	over := last.Sub(asked).Seconds() + params.Workers.LeaseS
+	if over >= params.Workers.CancelS || last.Sub(asked) < 5*time.Second {
+		t.Fatalf("answered until %v: the session may last until %v s", last.Sub(asked), over)
+	}
+	if report(2) != controller.Taken {
+		t.Fatal("a new session is answered")
+	}
+}
+
+// TestEveryAnswerStops: every answer renews the lease, so every answer carries the
+// stops of what nobody wants: also one to a worker that has not seen this term, and
+// one to a report that the answer to a direct call has overtaken.
+func TestEveryAnswerStops(t *testing.T) {
+	l, tr := running(t)
+	l.Cancel(l.now, "job-1", func(controller.Verdict) {})
+	l.commit()
+	next := newLeader(t, 6, l.now.Add(time.Second), l.kept)
+	list := []wire.TaskReport{tr, {Task: "job-9/0", Attempt: 1, State: wire.TaskFetching}, {Task: "job-9/1", Attempt: 1, State: wire.TaskExited, Why: wire.WhyError}}
+	a, receipt := next.Report(next.now, &wire.Report{Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: 50, Token: 5, Tasks: list}, false)
+	if receipt != controller.Taken || ops(a.Commands) != "kill job-1/0, kill job-9/0" || a.Commands[0].Attempt != tr.Attempt {
+		t.Fatalf("first heard in a term: %s", ops(a.Commands))
+	}
+	l, call, _ := called(t)
+	l.seq++
+	l.DirectDone(l.now, call, controller.DirectAnswered, &wire.Report{Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: l.seq + 1, Token: 5, Tasks: []wire.TaskReport{tr}})
+	l.Cancel(l.now, "job-1", func(controller.Verdict) {})
+	if cs := l.report("m1", 1, tr); ops(cs) != "kill job-1/0" {
+		t.Fatalf("overtaken by the answer to a direct call: %q", ops(cs))
+	}
+}
+
 // TestTeamAtItsLimitMakesWay: a team whose patient work fills its limit stops
 // some of it for its own urgent work, as no other machine would help.
 func TestTeamAtItsLimitMakesWay(t *testing.T) {
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -171,7 +171,7 @@
 			j.since, j.startAt = now, now
 		}
 		if j.state == jobActive && j.done.Full() {
-			c.end(j, jobDone, &c.urgent)
+			c.end(now, j, jobDone, &c.urgent)
 		}
 		c.begin(now, j)
 		c.tidy(j)
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -337,6 +337,9 @@
 	}
 	c.hearing(now, m, r)
 	c.newer(m, r)
+	if c.lateStart(now, m) {
+		return answer, Stale
+	}
 	m.checkin = r.Seq
 	m.heardAt, m.answeredAt = now, now
 	m.addr = r.Addr
@@ -377,6 +380,15 @@
 	return stops
 }
 
+// lateStart reports whether a start of a job that ended a while ago may still come
+// late to the machine's present session: no answer may keep that up.
+func (c *Controller) lateStart(now time.Time, m *machine) bool {
+	bound := lateStartBound(c.params.Workers)
+	return slices.ContainsFunc(m.attempts, func(a *attempt) bool {
+		return a.state == ordered && a.direct && a.job.state != jobActive && now.Sub(a.job.endedAt) > bound
+	})
+}
+
 // hearing judges whether our answers reach a machine whose reports reach us.
 // Its lease runs out if they don't: a new session right after reports without
 // a gap shows it. Such a machine would take starts for ever that it never gets.
@@ -531,7 +543,11 @@
 			if a.direct {
 				if !a.wanted() && m.fenceBy.IsZero() {
 					m.draining = true
-					m.fenceBy = now.Add(seconds(c.params.Workers.CancelS / tuning.FenceParts))
+					from := a.job.endedAt
+					if from.IsZero() {
+						from = now // only the task is done
+					}
+					m.fenceBy = from.Add(lateStartBound(c.params.Workers))
 				}
 				continue
 			}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -38,8 +38,9 @@
 	// a bound on what a lost answer can hide.
 	WatchBlock = 3 * time.Second
 	// GraceReserve is kept free within cancel_s when the time is chosen for
-	// which a leader without the state service goes on answering reports:
-	// grace + worker lease + reserve stays below cancel_s.
+	// which a leader without the state service goes on answering reports, and
+	// any leader a machine to which a start may come late: that time + worker
+	// lease + reserve stays below cancel_s.
 	GraceReserve = 5 * time.Second
 )
 
@@ -257,8 +258,9 @@
 	// FencePause is how long a machine whose lease is over may be heard of in a
 	// new session before it is released for a start that may still run there.
 	FencePause = 5 * time.Second
-	// FenceParts is the part of cancel_s (one over it) after which a machine
-	// is released that may still get a late start of an ended job.
+	// FenceParts is the part of cancel_s (one over it) after which a machine is
+	// released, and no longer answered, that may still get a late start of an ended
+	// job; sooner, if lease and reserve would not fit into the rest of cancel_s.
 	FenceParts = 3
 )
 
