--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -29,6 +29,8 @@
 	addrs []string
 	stop  []context.CancelFunc
 	ended []chan struct{}
+	// services are the state service and the cloud.
+	services *standin.Server
 }
 
 func listen(t *testing.T) net.Listener {
@@ -53,7 +55,7 @@
 	ln := listen(t)
 	t.Cleanup(func() { _ = ln.Close() })
 	go func() { _ = services.Serve(ln) }()
-	c := &cluster{t: t}
+	c := &cluster{t: t, services: services}
 	var peers []config.Peer
 	for i := range size {
 		c.addrs = append(c.addrs, freeAddr(t))
@@ -121,6 +123,12 @@
 }
 
 func send(addr, method, path, body string) (int, []byte) {
+	status, _, data := exchange(addr, method, path, body)
+	return status, data
+}
+
+// exchange sends a request; it returns status, Retry-After and body.
+func exchange(addr, method, path, body string) (int, string, []byte) {
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
@@ -128,9 +136,9 @@
 	req.SetRequestURI("http://" + addr + path)
 	req.SetBodyString(body)
 	if err := fasthttp.DoTimeout(req, res, 5*time.Second); err != nil {
-		return 0, nil
+		return 0, "", nil
 	}
-	return res.StatusCode(), append([]byte(nil), res.Body()...)
+	return res.StatusCode(), string(res.Header.Peek(fasthttp.HeaderRetryAfter)), append([]byte(nil), res.Body()...)
 }
 
 // until repeats a request until it gets the status and, if given, the state.
@@ -200,3 +208,84 @@
 		c.until(last, "GET", wire.PathJobs+"/"+id, "", 200, wire.JobDone)
 	}
 }
+
+// TestBadInput: at every node, also repeated, during a succession and an outage of
+// the state service, a malformed submission gets 400, one that can't run 422, an
+// unknown job 404, an accepted one 200 with its state and never something older.
+// Where a node can't decide it answers 503 with Retry-After. Nothing that is wrong is
+// ever called accepted.
+func TestBadInput(t *testing.T) {
+	c := start(t, 3)
+	done := fmt.Sprintf(submission, "job-000001")
+	c.until(c.addrs[0], "POST", wire.PathJobs, done, 201, "")
+	c.until(c.addrs[0], "GET", wire.PathJobs+"/job-000001", "", 200, wire.JobDone)
+
+	type request struct {
+		method, path, body string
+		status             int
+	}
+	jobs := wire.PathJobs
+	undecided := []request{ // it takes a leader to know
+		{"GET", jobs + "/job-999999", "", 404},
+		{"POST", jobs + "/job-999999/" + wire.EndCancel, "", 404},
+		{"GET", jobs + "/job-000001", "", 200},
+		{"POST", jobs, done, 200},
+		{"POST", jobs + "/job-000001/" + wire.EndCancel, "", 200},
+	}
+	var malformed []request
+	odd := func(status int, old, new string) request {
+		body := strings.Replace(strings.Replace(done, "job-000001", "job-000002", 1), old, new, 1)
+		if !strings.Contains(body, new) || strings.Contains(body, old) {
+			t.Fatalf("%s is not in the submission", old)
+		}
+		return request{"POST", jobs, body, status}
+	}
+	for _, r := range []request{
+		odd(422, `"crew":"blue"`, `"crew":"green"`), odd(422, `"cores":2`, `"cores":64`), odd(422, `"cores":2`, `"cores":17`),
+		odd(422, `"cards":0`, `"cards":1`), odd(422, `"memoryGb":1`, `"memoryGb":999`),
+		odd(422, `"builds":null`, `"builds":["none"]`), odd(422, `"berth":null`, `"berth":"nowhere"`),
+	} {
+		undecided = append(undecided, r)
+	}
+	for _, body := range []string{"", "[]", "null", "7", "{", done[1:], strings.Replace(done, "job-000001", "job-x", 1)} {
+		malformed = append(malformed, request{"POST", jobs, body, 400})
+	}
+	for _, value := range []string{`"muster":"c"`, `"crew":"blue"`, `"rig":"batch"`, `"rank":"high"`, `"oars":3`, `"cores":2`, `"cards":0`,
+		`"memoryGb":1`, `"hull":"img"`, `"imageGb":0.1`, `"together":false`, `"apart":false`, `"driftwood":true`, `"reckonS":0.1`, `"loglineS":0`, `"stowS":0`} {
+		name, _, _ := strings.Cut(value, ":")
+		malformed = append(malformed, odd(400, value+",", ""), odd(400, value, name+":null"), odd(400, value, name+":{}"))
+	}
+	// look sends everything to the nodes; 503 may come for what is undecided.
+	look := func(what string, addrs ...string) {
+		t.Helper()
+		for _, addr := range addrs {
+			for _, r := range append(malformed, undecided...) {
+				status, after, body := exchange(addr, r.method, r.path, r.body)
+				refused := status == 503 && after != "" && r.status != 400
+				if !refused && status != r.status {
+					t.Fatalf("%s: %s %s %s: %d %s, want %d", what, r.method, r.path, r.body, status, body, r.status)
+				}
+				if status == 200 && !strings.Contains(string(body), `"`+wire.JobDone+`"`) {
+					t.Fatalf("%s: %s %s answered %s", what, r.method, r.path, body)
+				}
+			}
+		}
+	}
+	for _, addr := range c.addrs {
+		c.until(addr, "GET", jobs+"/job-000001", "", 200, wire.JobDone)
+	}
+	look("quiet", c.addrs...)
+	c.services.SetDown(true)
+	c.until(c.addrs[0], "GET", jobs+"/job-000001", "", 503, "")
+	look("outage", c.addrs...)
+	c.services.SetDown(false)
+	c.until(c.addrs[2], "GET", jobs+"/job-000001", "", 200, wire.JobDone)
+	for i := range 2 {
+		c.stop[i]()
+		look("succession", c.addrs[2])
+		<-c.ended[i]
+		look("succession", c.addrs[2])
+	}
+	c.until(c.addrs[2], "GET", jobs+"/job-000001", "", 200, wire.JobDone)
+	c.until(c.addrs[2], undecided[0].method, undecided[0].path, "", 404, "")
+}
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -114,7 +114,10 @@
 			}
 		}
 	case LeaderIsolated:
-		w.leaders(func(n *node) { w.isolate(n, span) })
+		w.leaders(func(n *node) {
+			w.isolate(n, span)
+			w.gather(n)
+		})
 	case NodesApart:
 		w.part(n, w.nodes[w.rng.IntN(len(w.nodes))], span)
 	case MachineCut:
@@ -227,13 +230,23 @@
 	})
 }
 
+// gather lets all workers report to one node, as they do after it was alone.
+func (w *World) gather(n *node) {
+	for _, id := range w.names() {
+		w.workers[id].target = n.id
+	}
+}
+
 // gap is the meeting that broke most schedulers: the state service refuses the
 // leader alone, users cancel at the next leader, and then it refuses everybody
 // for longer than a cancellation may take, while workers go on reporting to the
 // old leader.
 func (w *World) gap() {
-	w.leaders(func(n *node) { n.refused = w.now.Add(14 * time.Second) })
-	w.after(w.between(1900, 3000), func() { w.CancelNow(4, 0) })
+	w.leaders(func(n *node) {
+		n.refused = w.now.Add(14 * time.Second)
+		w.gather(n)
+	})
+	w.after(w.between(1900, 3000), func() { w.CancelNow(10, 0) })
 	w.after(w.between(3000, 5000), func() {
 		w.outage(time.Duration((w.Params.Workers.CancelS + 12) * float64(time.Second)))
 	})
