--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"sort"
 	"strconv"
@@ -123,6 +124,11 @@
 		dependents: map[string][]*job{},
 	}
 	for _, t := range p.Teams {
+		if t.CPUsMax == 0 && t.GPUsMax == 0 {
+			// "A value of 0 means none": a guest without a guarantee and without a
+			// limit, not one that may use nothing.
+			t.CPUsMax, t.GPUsMax = math.Inf(1), math.Inf(1)
+		}
 		c.teams[t.Name] = &team{Team: t}
 	}
 	// A predecessor's last answer comes at the latest a grace after its
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -400,6 +400,36 @@
 	}
 }
 
+// TestGuestTeam: a guarantee of 0 and a limit of 0 mean that there is none. A guest's
+// job is accepted, and runs where there is room.
+func TestGuestTeam(t *testing.T) {
+	with := params
+	with.Teams = append(slices.Clone(params.Teams), config.Team{Name: "guests"})
+	c := controller.New(zerolog.Nop(), with, config.Operator{}, 5, start, 0)
+	c.SetTypes([]wire.MachineType{bigType})
+	l := &leader{Controller: c, t: t, now: start, kept: map[string]json.RawMessage{}}
+	j := spec("job-1")
+	j.Team, j.Tasks = "guests", 3
+	var got controller.Verdict
+	l.Submit(l.now, l.now, j, func(v controller.Verdict) { got = v })
+	l.commit()
+	l.Listed(l.now, l.now, nil)
+	if calls := l.Plan(l.now); got.Status != 201 || len(calls) == 0 || calls[0].Op != controller.CloudRent {
+		t.Fatalf("%+v, then %+v", got, calls)
+	}
+	l.report("m1", 1)
+	l.pass(time.Second)
+	l.commit()
+	if cs := l.report("m1", 1); len(cs) != 3 {
+		t.Fatalf("want three starts, got %s", ops(cs))
+	}
+	j = spec("job-2")
+	j.Team, j.GPUs = "guests", 1
+	if l.Submit(l.now, l.now, j, func(v controller.Verdict) { got = v }); got.Status != 422 {
+		t.Fatalf("no machine type has cards: %+v", got)
+	}
+}
+
 // TestGraceFitsCancellation: an old leader's last answer, a worker's lease
 // and a reserve fit into the time for cancellations.
 func TestGraceFitsCancellation(t *testing.T) {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -495,7 +495,7 @@
 	sort.SliceStable(ready, func(i, k int) bool { return ready[i].Level < ready[k].Level })
 	for _, r := range ready {
 		j := byID[r.Job]
-		limit := int(max(0, room[j.Team]) / max(j.CPUs, 1e-9))
+		limit := int(min(max(0, room[j.Team])/max(j.CPUs, 1e-9), float64(r.Tasks)))
 		// A failing job tries one task at a time, but it has to find a machine
 		// for that one: without demand of its own it could wait for ever.
 		n := min(r.Tasks, limit)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -251,13 +251,14 @@
 	least Resources
 	// holders are the machines with an image, or with a fetch of it under way
 	// when the pass began, by the images asked for so far.
-	holders map[string][]*Machine
-	teams   map[string]*Team
-	limit   int
-	starts  []Start
-	queued  int
-	full    int // the level for whose jobs no machine has room, -1 for none
-	work    Work
+	holders   map[string][]*Machine
+	teams     map[string]*Team
+	limit     int
+	starts    []Start
+	queued    int
+	full      int // the level for whose jobs no machine has room, -1 for none
+	work      Work
+	startOnly bool // nothing is queued or kept
 }
 
 // score is S(t, vm) = Rs(t) - Rvm(t, vm) in microseconds, and the wait for
@@ -269,7 +270,7 @@
 		return choice{}, false
 	}
 	wait := m.waitFor(p.now, r.Need)
-	if math.IsInf(wait, 1) {
+	if math.IsInf(wait, 1) || p.startOnly && wait > 0 {
 		return choice{}, false
 	}
 	s := FetchTime(r.ImageGB, m.FetchGBPerS) - wait - m.fetch(p.now, r.Image, r.ImageGB)
@@ -298,7 +299,7 @@
 		}
 		return true
 	})
-	if none := len(r.choices) == 0; p.queued < tuning.PassQueues && p.work.Scores < tuning.PassScores/2 && (!cached && r.ImageGB > 0 || none) {
+	if none := len(r.choices) == 0; !p.startOnly && p.queued < tuning.PassQueues && p.work.Scores < tuning.PassScores/2 && (!cached && r.ImageGB > 0 || none) {
 		busy := p.machines
 		if !none {
 			busy = p.holdersOf(r.Image)
@@ -391,7 +392,8 @@
 		}
 	}
 	slices.SortStableFunc(jobs, func(a, b *Ready) int { return cmp.Or(compareLines(a, b), strings.Compare(a.Job, b.Job)) })
-	for from := 0; from < len(jobs); {
+	p.startAged(jobs)
+	for from := 0; from < len(jobs) && !p.work.Unfinished; {
 		to := from + 1
 		for to < len(jobs) && compareLines(jobs[to], jobs[from]) == 0 {
 			to++
@@ -409,6 +411,31 @@
 	return p.starts, p.work
 }
 
+// startAged lets all aged jobs have what they can start on now, before room is kept
+// for those of them that can't: the first in line for whom nothing comes free would
+// otherwise keep the others waiting for as long. A turn is a few tasks of a job that
+// has waited long, so the first ones still get their room before all that has not.
+func (p *pass) startAged(jobs []*Ready) {
+	aged := 0
+	for aged < len(jobs) && jobs[aged].AgedS > 0 {
+		aged++
+	}
+	if aged < 2 {
+		return
+	}
+	p.startOnly = true
+	for i := range aged {
+		if jobs[i].Tasks > 0 && !p.line(jobs[i:i+1], jobs[i+1:]) {
+			p.work.Unfinished = true
+			break
+		}
+	}
+	p.startOnly = false
+	for _, r := range jobs[:aged] {
+		r.closed, r.scored = false, false
+	}
+}
+
 // step is the line of a job by urgency.
 func (r *Ready) step() float64 { return math.Floor(r.Urgency / tuning.UrgencyStep) }
 
@@ -450,7 +477,7 @@
 				// an aged job room within the limit is kept, or its team's smaller
 				// tasks would take every bit of it that comes free.
 				r.closed = true
-				if r.AgedS > 0 && team != nil {
+				if r.AgedS > 0 && team != nil && !p.startOnly {
 					team.Used = team.Used.Add(r.Need, 1)
 				}
 				continue
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -209,3 +209,21 @@
 		t.Errorf("started %v", starts)
 	}
 }
+
+// TestAgedJobsStartWhereTheyFit: room that is kept for a job that has waited long,
+// within its team's limit or on a machine, keeps no other such job waiting that fits
+// into it; what has not waited long gets none of it.
+func TestAgedJobsStartWhereTheyFit(t *testing.T) {
+	for name, max := range map[string]float64{"the limit": 12, "the machine": 100} {
+		m := vm("m", 12)
+		m.Free = sched.Resources{CPUs: 2, MemoryGB: 50}
+		m.Loads = []sched.Load{{Need: sched.Resources{CPUs: 10, MemoryGB: 50}, EndS: 500}}
+		big, small, fresh := job("big", 1, 2), job("small", 3, 1), job("fresh", 0, 5)
+		big.Need.CPUs, big.AgedS, small.AgedS = 3, 200, 100
+		teams := map[string]*sched.Team{"blue": {Used: sched.Resources{CPUs: 10}, Max: sched.Resources{CPUs: max, MemoryGB: 1e9}}}
+		got, _ := sched.Pass(100, []*sched.Ready{fresh, big, small}, []*sched.Machine{m}, teams, 10)
+		if fmt.Sprint(got) != "[{small m}]" {
+			t.Errorf("kept by %s: %v", name, got)
+		}
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -164,8 +164,9 @@
 	MachineTasks = 128
 	// AgeAfter is how long a job waits without a start before some of its
 	// tasks go first, whatever the priority and urgency of others: no class,
-	// team or large job starves behind a lasting backlog.
-	AgeAfter = 90 * time.Second
+	// team or large job starves behind a lasting backlog. The operators want no job
+	// left waiting for 90 s where it could start.
+	AgeAfter = 80 * time.Second
 	// AgedShare is the part of a job's tasks that go first then.
 	AgedShare = 0.05
 	// RetryMin and RetryMax bound the exponential pause of a job whose tasks
