--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -413,6 +413,7 @@
 	var got controller.Verdict
 	l.Submit(l.now, l.now, j, func(v controller.Verdict) { got = v })
 	l.commit()
+	l.pass(10 * time.Second) // machines of a predecessor would be listed by then
 	l.Listed(l.now, l.now, nil)
 	if calls := l.Plan(l.now); got.Status != 201 || len(calls) == 0 || calls[0].Op != controller.CloudRent {
 		t.Fatalf("%+v, then %+v", got, calls)
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -115,6 +115,7 @@
 
 	number   uint64
 	state    attemptState
+	aged     bool // placed since its job had waited long
 	stop     bool // to be stopped
 	grace    float64
 	stopSent bool
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -53,6 +53,10 @@
 	for name, t := range c.teams {
 		teams[name] = &sched.Team{Used: t.used, Max: sched.Resources{CPUs: t.CPUsMax, GPUs: t.GPUsMax, MemoryGB: math.Inf(1)}}
 	}
+	aged := map[*job]bool{}
+	for _, j := range byID {
+		aged[j] = now.Sub(j.startAt) >= tuning.AgeAfter
+	}
 	starts, work := sched.Pass(c.clock(now), c.withAged(now, ready, byID), machines, teams, tuning.PassStarts)
 	c.scores += work.Scores
 	for _, s := range starts {
@@ -63,7 +67,7 @@
 		j.startAt = now
 		// The start may go out only once the record of it is durable: a
 		// successor must know which machine to ask for the task.
-		a := &attempt{number: c.nextAttempt(), state: recording, orderedAt: now}
+		a := &attempt{number: c.nextAttempt(), state: recording, orderedAt: now, aged: aged[j]}
 		c.hold(m, j, index, a)
 		c.logStart(a)
 	}
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -66,6 +66,8 @@
 			case a.stop, a.state == saving, c.endsSoon(now, a):
 				coming[m] = coming[m].Add(a.job.need, 1)
 				leaving[a.job.Team] += a.job.CPUs
+			case a.aged && now.Sub(a.orderedAt) < tuning.AgedRun:
+				// Stopped at once, pass after pass, its job would never have begun.
 			case a.state == running && a.job.CheckpointS > 0:
 				if l := lost(now, a); l <= tuning.PreemptLoss.Seconds() {
 					if len(a.job.ready) == 0 {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -214,6 +214,10 @@
 	// PreemptDelay is what being stopped counts for a task whose job has no
 	// other task waiting, on top of lost progress: about what it waits then.
 	PreemptDelay = 15 * time.Second
+	// AgedRun is how long a task that was placed since its job had waited long is
+	// not stopped for others: a start counts to its user once it has run for 30 s,
+	// and its image may have to be fetched before.
+	AgedRun = 45 * time.Second
 	// PreemptFetchWeight is what a second of image fetch counts against a
 	// second of lost progress when room is made.
 	PreemptFetchWeight = 4.0
