A job that fails everywhere gives no machine a bad name; where every machine has failed a job, another one is rented

So far two mistaken jobs that failed on a machine in a row took it out of use. A job that failed on several machines and ended on none is taken for mistaken: it keeps no first pick.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -245,6 +245,8 @@
 	progress map[int32]float64
 
 	failures int
+	// failedOn are the machines where tasks have failed since one was done.
+	failedOn map[string]bool
 	notUntil time.Time
 	// startAt is when a task of the job was last placed, or when the job came.
 	startAt time.Time
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -23,6 +23,7 @@
 	confirmed           bool // has reported knowing this term: its list is complete
 	releasing           bool
 	draining            bool
+	faulty              bool // several jobs failed there in a row
 
 	session, seq uint64
 	checkin      uint64 // the newest of the session that the worker sent by itself
@@ -583,18 +584,13 @@
 			c.observe(j, now.Sub(a.runningAt).Seconds()+j.progress[a.index])
 		}
 		j.failures = 0
-		clear(m.failing)
+		c.vindicate(j, m)
 		m.images[j.Image] = now
 		c.taskDone(now, j, a.index)
 	case wire.WhyError:
 		c.log.Debug().Str("machine", m.id).Str("task", t.Task).Msg("task failed")
 		c.failed(now, j)
-		m.avoid[j.ID] = true
-		m.failing[j.ID] = true
-		if len(m.failing) >= tuning.FaultyJobs && !m.draining {
-			c.log.Info().Str("machine", m.id).Msg("faulty machine, draining")
-			m.draining = true
-		}
+		c.blame(j, m)
 	case wire.WhyNoRoom, wire.WhyBusy:
 		m.fullUntil = now.Add(tuning.FullPause)
 	case wire.WhyUnknown:
@@ -603,6 +599,55 @@
 	c.drop(now, a)
 }
 
+// Whose fault a failure is shows only by where else the job fails or ends. A job that
+// has failed on several machines, and ended on none, is taken for one submitted with a
+// mistake: no machine gets a bad name by it. Once a task of it ends somewhere, the
+// machines where it failed are to blame. One on which several jobs failed in a row is
+// faulty.
+
+// blame notes that a task of the job has failed on the machine.
+func (c *Controller) blame(j *job, m *machine) {
+	if j.failedOn == nil {
+		j.failedOn = map[string]bool{}
+	}
+	j.failedOn[m.id] = true
+	m.avoid[j.ID] = true
+	if !j.mistaken() {
+		m.fails(c, j)
+		return
+	}
+	for id := range j.failedOn {
+		if o := c.machines[id]; o != nil {
+			delete(o.failing, j.ID)
+			o.faulty = len(o.failing) >= tuning.FaultyJobs
+		}
+	}
+}
+
+// vindicate notes that a task of the job has ended on the machine.
+func (c *Controller) vindicate(j *job, m *machine) {
+	if !m.faulty {
+		clear(m.failing)
+	}
+	for id := range j.failedOn {
+		if o := c.machines[id]; o != nil && o != m {
+			o.fails(c, j)
+		}
+	}
+	clear(j.failedOn)
+}
+
+func (m *machine) fails(c *Controller, j *job) {
+	m.failing[j.ID] = true
+	if len(m.failing) >= tuning.FaultyJobs && !m.faulty {
+		c.log.Info().Str("machine", m.id).Msg("faulty machine, draining")
+		m.faulty = true
+	}
+}
+
+// mistaken reports whether the job seems to fail everywhere.
+func (j *job) mistaken() bool { return len(j.failedOn) >= tuning.MistakenOn && j.done.Len() == 0 }
+
 // observe learns how run times compare with estimates, per class.
 func (c *Controller) observe(j *job, ran float64) {
 	x := ran / max(j.EstimateS, tuning.MinimumEstimate)
@@ -679,7 +724,7 @@
 
 // open reports whether a machine takes new tasks.
 func (c *Controller) open(now time.Time, m *machine) bool {
-	return m.up && m.confirmed && !m.replaced && !m.releasing && !m.draining && m.noticeEnds.IsZero() &&
+	return m.up && m.confirmed && !m.replaced && !m.releasing && !m.draining && !m.faulty && m.noticeEnds.IsZero() &&
 		m.total.CPUs > 0 && !now.Before(m.fullUntil) && !m.deaf() && !c.silent(now, m)
 }
 
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -92,7 +92,7 @@
 	all := ready
 	for _, r := range ready {
 		j := byID[r.Job]
-		if now.Sub(j.startAt) < tuning.AgeAfter {
+		if now.Sub(j.startAt) < tuning.AgeAfter || j.mistaken() {
 			continue
 		}
 		first := *r
@@ -434,7 +434,7 @@
 		// began anew. It must not be taken for the old one, and can't be told
 		// from copies, so the machine is replaced.
 		return true
-	case len(m.attempts) == 0 && (m.draining || !m.noticeEnds.IsZero()):
+	case len(m.attempts) == 0 && (m.draining || m.faulty || !m.noticeEnds.IsZero()):
 		return true
 	}
 	heard := m.heardAt
@@ -464,7 +464,7 @@
 		t := c.types[m.typ]
 		p := provision.Machine{
 			ID: m.id, Offer: provision.Offer{Type: m.typ, Zone: m.zone, Spot: m.spot},
-			Total: m.total, Free: m.free, Open: !m.draining && !m.replaced && m.noticeEnds.IsZero() && !m.deaf() && !(m.up && c.silent(now, m)),
+			Total: m.total, Free: m.free, Open: !m.draining && !m.faulty && !m.replaced && m.noticeEnds.IsZero() && !m.deaf() && !(m.up && c.silent(now, m)),
 			Idle: len(m.attempts) == 0 && m.up && m.confirmed && now.Sub(m.rentedAt) >= tuning.MinimumBill, IdleFor: now.Sub(m.idleFrom), Price: c.price(m),
 		}
 		if !m.up {
@@ -509,7 +509,7 @@
 		}
 		in.Demand = append(in.Demand, provision.Demand{
 			Tasks: n, HorizonS: c.horizon(now, j), Need: j.need, EstimateS: r.EstimateS,
-			Types: j.Types, Zone: j.Zone, Spot: j.Spot,
+			Types: j.Types, Zone: j.Zone, Spot: j.Spot, Avoid: j.failedOn,
 		})
 	}
 	c.smooth(now, busy)
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -30,6 +30,9 @@
 	Spot      bool
 	// HorizonS is the time within which the tasks should begin.
 	HorizonS float64
+	// Avoid names machines where the job has failed: their room is none to it.
+	// Counted as room, a faulty machine that is alone would keep it waiting for ever.
+	Avoid map[string]bool
 }
 
 // Machine is a machine as the planner sees it.
@@ -72,6 +75,7 @@
 
 // bin is a machine, existing or to be rented, being filled with demand.
 type bin struct {
+	id     string // empty: not there yet
 	offer  Offer
 	total  sched.Resources
 	free   sched.Resources // room that nothing takes yet
@@ -106,7 +110,7 @@
 	bins := make([]bin, 0, len(in.Machines))
 	openCPUs, freeCPUs := 0.0, 0.0
 	for _, m := range in.Machines {
-		bins = append(bins, bin{offer: m.Offer, total: m.Total, free: m.Free, busyS: m.BusyS, readyS: m.ReadyInS, open: m.Open})
+		bins = append(bins, bin{id: m.ID, offer: m.Offer, total: m.Total, free: m.Free, busyS: m.BusyS, readyS: m.ReadyInS, open: m.Open})
 		if m.Open {
 			openCPUs += m.Total.CPUs
 			if m.ReadyInS == 0 {
@@ -122,7 +126,7 @@
 		fill := func(horizonS float64) {
 			for i := range bins {
 				b := &bins[i]
-				if tasks > 0 && b.open && allowed(d, b.offer) && b.total.Fits(d.Need) {
+				if tasks > 0 && b.open && !d.Avoid[b.id] && allowed(d, b.offer) && b.total.Fits(d.Need) {
 					tasks -= b.take(d, tasks, horizonS)
 				}
 			}
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -292,7 +292,8 @@
 		free[w] = room
 	}
 	for id, t := range r.jobs {
-		waits := t.accepted && !t.askedCancel && !t.over && r.over(t.job.Needs) && len(placed[id]) == 0
+		// What ended on a machine that was lost has to run again: told is what counts.
+		waits := t.accepted && !t.askedCancel && !t.done && r.toldDone(t.job.Needs) && len(placed[id]) == 0
 		fits := func(w *Worker) bool {
 			j, room := t.job, free[w]
 			return !w.Faulty && w.Notice == nil && !now.After(w.LeaseEnd) &&
@@ -314,6 +315,11 @@
 	return nil
 }
 
+// toldDone reports whether the users of all the jobs were told that they are done.
+func (r *Rules) toldDone(ids []string) bool {
+	return !slices.ContainsFunc(ids, func(id string) bool { return !r.KnownDone(id) })
+}
+
 // underLimit reports whether one more task of a job fits into its team's limit.
 func (r *Rules) underLimit(j *wire.Job, used map[string]float64) bool {
 	return slices.ContainsFunc(r.Teams, func(t config.Team) bool {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -196,6 +196,10 @@
 	// FaultyJobs is the number of different jobs whose tasks must fail on a
 	// machine in a row before the machine is taken for faulty and drained.
 	FaultyJobs = 2
+	// MistakenOn is the number of machines on which a job must have failed, and ended
+	// on none, to be taken for one that fails everywhere: hardly two machines that it
+	// tries are faulty.
+	MistakenOn = 2
 	// EstimateWeight is the weight of a new observation in the per-class
 	// ratio of run time to estimate.
 	EstimateWeight = 0.05
