--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -435,6 +435,21 @@
 	t.Error("where all machines have failed it, a job needs another one")
 }
 
+// TestPollIsCheap: a question costs the same however many jobs there are, as users ask
+// many times as often in some nights: no work that grows, and next to no memory.
+func TestPollIsCheap(t *testing.T) {
+	l, _ := running(t)
+	for i := range 3000 {
+		l.Submit(l.now, l.now, spec(fmt.Sprint("job-", 1000+i)), func(controller.Verdict) {})
+		l.commit()
+	}
+	for _, id := range []string{"job-1", "job-2000", "job-999999"} {
+		if n := testing.AllocsPerRun(100, func() { l.Query(id) }); n > 0 {
+			t.Errorf("%s: %v allocations", id, n)
+		}
+	}
+}
+
 // rents reports whether a plan rents.
 func rents(calls []controller.CloudCall) bool {
 	return slices.ContainsFunc(calls, func(c controller.CloudCall) bool { return c.Op == controller.CloudRent })
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -171,6 +171,9 @@
 	}
 }
 
+// BootTrouble lets new machines, for a time, come up late or never.
+func (w *World) BootTrouble(span time.Duration) { w.Cloud.TroubledUntil = w.now.Add(span) }
+
 // SlowLinks makes messages between workers and controllers slow for a time.
 func (w *World) SlowLinks(span time.Duration) { w.slowLinks = w.now.Add(span) }
 
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -131,10 +131,21 @@
 
 func (w *World) poll(j *wire.Job) {
 	w.ask(w.anyNode(), w.question(j, func(controller.Verdict) {
-		w.after(w.between(3000, 6000), func() { w.poll(j) })
+		pause := w.between(3000, 6000)
+		if w.now.Before(w.stormUntil) {
+			pause /= 8
+			w.Met["storm poll"]++
+		}
+		w.after(pause, func() { w.poll(j) })
 	}))
 }
 
+// PollStorm lets users, for a time, ask eight times as often.
+func (w *World) PollStorm(span time.Duration) { w.stormUntil = w.now.Add(span) }
+
+// Mistake makes a job one that fails on every machine.
+func (w *World) Mistake(j *wire.Job) { w.mistaken[j.ID] = true }
+
 // nobody is who has no use for an answer; the rules are told of it all the same.
 func nobody(controller.Verdict) {}
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -31,7 +31,9 @@
 	Jobs    func(id string) *wire.Job // what users uploaded
 	RunTime func(*wire.Job) time.Duration
 	Faulty  bool
-	Lease   time.Duration
+	// Mistaken, if set, tells jobs that fail on every machine.
+	Mistaken func(id string) bool
+	Lease    time.Duration
 
 	Session  uint64
 	Seq      uint64
@@ -91,7 +93,7 @@
 			switch {
 			case w.Results[t.Name]:
 				t.State, t.Why = wire.TaskExited, wire.WhyDone
-			case w.Faulty:
+			case w.Faulty, w.Mistaken != nil && w.Mistaken(job.ID):
 				t.State, t.Why = wire.TaskExited, wire.WhyError
 			default:
 				t.State, t.At = wire.TaskRunning, now.Add(w.RunTime(job))
@@ -220,6 +222,9 @@
 	Type     wire.MachineType
 	Capacity int // machines an offer can hold at once
 	Down     bool
+	// TroubledUntil: of the machines rented before then half come up several times
+	// as late, and a quarter never do.
+	TroubledUntil time.Time
 	// FastUntil: machines rented before then are up within two seconds.
 	FastUntil time.Time
 
@@ -262,6 +267,14 @@
 		if rng.IntN(20) == 0 {
 			boot = 1000 * time.Hour
 		}
+		if now.Before(c.TroubledUntil) {
+			switch rng.IntN(4) {
+			case 0:
+				boot = 1000 * time.Hour
+			case 1, 2:
+				boot *= 3
+			}
+		}
 		if now.Before(c.FastUntil) {
 			boot = time.Duration(200+rng.IntN(1800)) * time.Millisecond
 		}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -47,8 +47,10 @@
 	cutZone      string
 	cutZoneUntil time.Time
 
-	order                                               []*wire.Job // as submitted
-	downUntil                                           time.Time   // the state service
+	order                                               []*wire.Job     // as submitted
+	mistaken                                            map[string]bool // jobs that fail on every machine
+	stormUntil                                          time.Time       // users ask many times as often
+	downUntil                                           time.Time       // the state service
 	looksUntil                                          time.Time
 	looked                                              map[string]bool // news at which users have looked closely
 	writesLost, writesLate, reportsLate, reportsForNext shareUntil
@@ -123,18 +125,19 @@
 func NewWorld(seed uint64, nodes int, p config.Params, t wire.MachineType) *World {
 	start := time.Unix(1_700_000_000, 0)
 	w := &World{
-		Rules:   NewRules(p.Teams, time.Duration(p.Workers.CancelS*float64(time.Second))),
-		State:   NewState(),
-		Cloud:   NewCloud(t, 4),
-		Params:  p,
-		rng:     rand.New(rand.NewPCG(seed, 1)),
-		now:     start,
-		start:   start,
-		workers: map[string]*worker{},
-		jobs:    map[string]*wire.Job{},
-		split:   map[[2]int]bool{},
-		looked:  map[string]bool{},
-		Met:     map[string]int{},
+		Rules:    NewRules(p.Teams, time.Duration(p.Workers.CancelS*float64(time.Second))),
+		State:    NewState(),
+		Cloud:    NewCloud(t, 4),
+		Params:   p,
+		rng:      rand.New(rand.NewPCG(seed, 1)),
+		now:      start,
+		start:    start,
+		workers:  map[string]*worker{},
+		jobs:     map[string]*wire.Job{},
+		split:    map[[2]int]bool{},
+		looked:   map[string]bool{},
+		mistaken: map[string]bool{},
+		Met:      map[string]int{},
 	}
 	for i := range nodes {
 		n := &node{id: i, name: fmt.Sprintf("node-%d", i), zone: t.Zones[i%len(t.Zones)], up: true, drift: (w.rng.Float64() - 0.5) * 0.001}
@@ -645,6 +648,7 @@
 	m.RunTime = func(j *wire.Job) time.Duration {
 		return time.Duration(j.EstimateS * (0.5 + w.rng.Float64()) * float64(time.Second))
 	}
+	m.Mistaken = func(id string) bool { return w.mistaken[id] }
 	m.Faulty = w.troubled() && w.chance(0.05)
 	m.target = w.rng.IntN(len(w.nodes))
 	w.workers[m.ID] = m
