--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -300,7 +300,7 @@
 // Final reports whether the verdict stays true for good, whoever leads: others may
 // be told only by a leader.
 func (v Verdict) Final() bool {
-	return v.Status/100 == 2 && (v.State == wire.JobDone || v.State == wire.JobCancelled)
+	return v.Status/100 == 2 && wire.Final(v.State)
 }
 
 func (c *Controller) verdict(id string) (Verdict, bool) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,9 +149,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	asked := time.Now()
 	a, err := n.hub.Forward(ctx, c)
-	if err != nil {
+	switch {
+	case err != nil:
 		return peer.Refusal(http.StatusServiceUnavailable, "no leader within reach")
+	case !a.Final() && time.Since(asked) > wait:
+		// This process may have stood still, and the answer be old.
+		return peer.Refusal(http.StatusServiceUnavailable, "the leader's answer came late")
 	}
 	return a
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -86,6 +86,9 @@
 	Why    string             `json:"why,omitempty"`
 }
 
+// Final reports whether the answer stays true for good, whoever leads.
+func (a *Answer) Final() bool { return a.Status/100 == 2 && a.Job != nil && wire.Final(a.Job.State) }
+
 // Refusal is an answer other than success.
 func Refusal(status int, why string) Answer { return Answer{Status: status, Why: why} }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -39,6 +39,9 @@
 	JobCancelled = "aborted"
 )
 
+// Final reports whether a job in this state remains in it.
+func Final(state string) bool { return state == JobDone || state == JobCancelled }
+
 // Job kinds.
 const KindArray = "batch"
 
