--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -13,6 +13,7 @@
 
 	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/controller"
+	"switchshore.example/switchshore/internal/tuning"
 	"switchshore.example/switchshore/wire"
 )
 
@@ -739,6 +740,41 @@
 	}
 }
 
+// TestAgedStartIsLeftToRun: a task that began since its job had waited long is not
+// stopped for more urgent work before its start counts; after that it is.
+func TestAgedStartIsLeftToRun(t *testing.T) {
+	for _, waited := range []time.Duration{time.Second, tuning.AgeAfter} {
+		l := newLeader(t, 5, start, map[string]json.RawMessage{})
+		idle := spec("job-1")
+		idle.Priority, idle.CPUs, idle.CheckpointS, idle.EstimateS = wire.PriorityIdle, 8, 5, 300
+		l.Submit(l.now, l.now, idle, func(controller.Verdict) {})
+		l.commit()
+		l.pass(waited)
+		l.report("m1", 1)
+		l.pass(time.Second)
+		l.commit()
+		cs := l.report("m1", 1)
+		if ops(cs) != "run job-1/0" {
+			t.Fatal(ops(cs))
+		}
+		began := l.now
+		l.submit("job-2")
+		for {
+			l.pass(time.Second)
+			l.commit()
+			if l.now.Sub(began) > 90*time.Second {
+				t.Fatal("never stopped")
+			}
+			if len(l.report("m1", 1, wire.TaskReport{Task: "job-1/0", Attempt: cs[0].Attempt, State: wire.TaskRunning})) > 0 {
+				break
+			}
+		}
+		if ran := l.now.Sub(began); ran > 30*time.Second != (waited == tuning.AgeAfter) {
+			t.Errorf("after a wait of %v: stopped after %v", waited, ran)
+		}
+	}
+}
+
 // TestDeafMachineIsReplaced: a machine's reports arrive, but nothing it is told
 // gets there. Its task runs elsewhere as soon as its new session shows that its
 // lease has run out, it gets no more work, and it is released.
--- a/internal/provision/provision_test.go
+++ b/internal/provision/provision_test.go
@@ -33,6 +33,26 @@
 	}
 }
 
+// TestRoomWhereAJobFailedIsNone: a machine that has failed a job is no room to it;
+// alone and with room for others it would keep the job waiting for ever.
+func TestRoomWhereAJobFailedIsNone(t *testing.T) {
+	size := sched.Resources{CPUs: 8, MemoryGB: 32}
+	for _, c := range []struct {
+		avoid map[string]bool
+		rent  int
+	}{{nil, 0}, {map[string]bool{"a1": true}, 1}} {
+		plan := Make(Input{
+			Types:    []wire.MachineType{{Name: "t", CPUs: 8, MemoryGB: 32, Price: 1, Zones: []string{"a"}}},
+			Demand:   []Demand{{Tasks: 1, Need: sched.Resources{CPUs: 1}, EstimateS: 10, HorizonS: 20, Avoid: c.avoid}},
+			Machines: []Machine{{ID: "a1", Offer: Offer{Type: "t", Zone: "a"}, Total: size, Free: size, Open: true, Price: 1}},
+			Refused:  func(Offer) bool { return false },
+		})
+		if n := plan.Rent[Offer{Type: "t", Zone: "a"}]; n != c.rent {
+			t.Errorf("avoiding %v: rent %d", c.avoid, n)
+		}
+	}
+}
+
 // TestSteadyWork: while work waits that could begin in time on the machines
 // there are, machines of the cheapest offer are rented up to what keeps coming;
 // none of dearer ones, and none while all fits.
