--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -240,13 +240,11 @@
 		}
 		return request{"POST", jobs, body, status}
 	}
-	for _, r := range []request{
+	undecided = append(undecided,
 		odd(422, `"crew":"blue"`, `"crew":"green"`), odd(422, `"cores":2`, `"cores":64`), odd(422, `"cores":2`, `"cores":17`),
 		odd(422, `"cards":0`, `"cards":1`), odd(422, `"memoryGb":1`, `"memoryGb":999`),
 		odd(422, `"builds":null`, `"builds":["none"]`), odd(422, `"berth":null`, `"berth":"nowhere"`),
-	} {
-		undecided = append(undecided, r)
-	}
+	)
 	for _, body := range []string{"", "[]", "null", "7", "{", done[1:], strings.Replace(done, "job-000001", "job-x", 1)} {
 		malformed = append(malformed, request{"POST", jobs, body, 400})
 	}
