--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -740,6 +740,54 @@
 	}
 }
 
+// TestRoomBeingMadeIsKept: two tasks are stopped for a larger one of a higher priority,
+// and exit one after the other. What the first leaves does not go to work of the lower
+// priority again.
+func TestRoomBeingMadeIsKept(t *testing.T) {
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	low := spec("job-1")
+	low.Priority, low.Tasks, low.CPUs, low.CheckpointS, low.EstimateS = wire.PriorityIdle, 2, 4, 5, 300
+	l.Submit(l.now, l.now, low, func(controller.Verdict) {})
+	l.commit()
+	l.report("m1", 1)
+	l.pass(time.Second)
+	l.commit()
+	var running []wire.TaskReport
+	for _, c := range l.report("m1", 1) {
+		running = append(running, wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning})
+	}
+	if len(running) != 2 {
+		t.Fatalf("%d of 2 tasks started", len(running))
+	}
+	l.report("m1", 1, running...)
+	high := spec("job-2")
+	high.CPUs = 8
+	l.Submit(l.now, l.now, high, func(controller.Verdict) {})
+	l.commit()
+	l.pass(time.Second)
+	if cs := l.report("m1", 1, running...); len(cs) != 2 || cs[0].Op != wire.OpStop || cs[1].Op != wire.OpStop {
+		t.Fatalf("instead of two stops: %s", ops(cs))
+	}
+	exited := func(r wire.TaskReport) wire.TaskReport {
+		r.State, r.Why = wire.TaskExited, wire.WhyStopped
+		return r
+	}
+	l.report("m1", 1, exited(running[0]), running[1])
+	l.pass(500 * time.Millisecond)
+	l.commit()
+	for _, c := range l.report("m1", 1, running[1]) {
+		if c.Op == wire.OpStart {
+			t.Fatalf("%s was started in the room that is being made", c.Task)
+		}
+	}
+	l.report("m1", 1, exited(running[1]))
+	l.pass(500 * time.Millisecond)
+	l.commit()
+	if cs := l.report("m1", 1); ops(cs) != "run job-2/0" {
+		t.Fatal(ops(cs))
+	}
+}
+
 // TestAgedStartIsLeftToRun: a task that began since its job had waited long is not
 // stopped for more urgent work before its start counts; after that it is.
 func TestAgedStartIsLeftToRun(t *testing.T) {
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -34,10 +34,12 @@
 	answeredAt  time.Time // newest report answered 200
 	noticeEnds  time.Time // zero: no notice
 	fullUntil   time.Time
+	// Until reservedUntil, room is kept from work below reservedLevel.
+	reservedUntil time.Time
+	reservedLevel int
 
 	attempts []*attempt // in the order in which they came to be known
 	exited   []exit
-	orphans  []exitKey // tasks that nobody wants, to be stopped
 	images   map[string]time.Time
 	avoid    map[string]bool
 	failing  map[string]bool
@@ -361,7 +363,7 @@
 	}
 	c.take(now, m, r, true)
 	c.notice(now, m)
-	c.commands(now, m, r.Seq, authority, &answer)
+	answer.Commands = c.commands(m, r, authority)
 	return answer, Taken
 }
 
@@ -456,18 +458,16 @@
 // answers did not run: an answer to a direct call may overtake them.
 func (c *Controller) take(now time.Time, m *machine, r *wire.Report, checkin bool) {
 	c.round++
-	m.exited, m.orphans = m.exited[:0], m.orphans[:0]
+	m.exited = m.exited[:0]
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		id, index, ok := wire.SplitTask(t.Task)
 		j := c.jobs[id]
 		ek := exitKey{t.Task, t.Attempt}
 		if !ok || j == nil || index >= j.Tasks {
-			// A task that nobody wants: of a job that ended, or unknown.
+			// Of a job that ended, or unknown: what is not over is stopped (stopsOf).
 			if t.State == wire.TaskExited {
 				m.exited = append(m.exited, exit{ek, !m.keep[ek]})
-			} else {
-				m.orphans = append(m.orphans, ek)
 			}
 			continue
 		}
@@ -689,19 +689,13 @@
 	}
 }
 
-// commands puts orders into an answer: stops first, as the answer renews the lease
-// whether all fit or not, then forgets, then starts.
-func (c *Controller) commands(now time.Time, m *machine, seq uint64, authority bool, answer *wire.ReportAnswer) {
-	out := answer.Commands
-	zero := 0.0
-	for _, o := range m.orphans {
-		if len(out) < tuning.AnswerCommands {
-			out = append(out, wire.Command{Op: wire.OpStop, Task: o.task, Attempt: o.attempt, GraceS: &zero})
-		}
-	}
+// commands are those of the answer to a report: stops first, as the answer renews the
+// lease whether all fit or not, then forgets, then starts.
+func (c *Controller) commands(m *machine, r *wire.Report, authority bool) []wire.Command {
+	out := c.stopsOf(r)
 	for _, a := range m.attempts {
-		if !a.stop || a.state < fetching || a.state == saving && a.grace > 0 || len(out) >= tuning.AnswerCommands {
-			continue
+		if !a.stop || !a.job.wants(int(a.index)) || a.state < fetching || a.state == saving && a.grace > 0 || len(out) >= tuning.AnswerCommands {
+			continue // the stops of what nobody wants are there already
 		}
 		out = append(out, a.stopCommand())
 	}
@@ -715,16 +709,20 @@
 			if a.state != ordered || !a.wanted() || a.direct && m.calling || len(out) >= tuning.AnswerCommands {
 				continue
 			}
-			a.sentSeq = seq
+			a.sentSeq = r.Seq
 			out = append(out, a.startCommand())
 		}
 	}
-	answer.Commands = out
+	return out
 }
 
+// retiring reports whether a machine takes no more work because it is to go: it is
+// drained, faulty, or about to be taken by the cloud.
+func (m *machine) retiring() bool { return m.draining || m.faulty || !m.noticeEnds.IsZero() }
+
 // open reports whether a machine takes new tasks.
 func (c *Controller) open(now time.Time, m *machine) bool {
-	return m.up && m.confirmed && !m.replaced && !m.releasing && !m.draining && !m.faulty && m.noticeEnds.IsZero() &&
+	return m.up && m.confirmed && !m.replaced && !m.releasing && !m.retiring() &&
 		m.total.CPUs > 0 && !now.Before(m.fullUntil) && !m.deaf() && !c.silent(now, m)
 }
 
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -40,10 +40,15 @@
 	if len(ready) == 0 {
 		return
 	}
+	highest := slices.MinFunc(ready, func(a, b *sched.Ready) int { return cmp.Compare(a.Level, b.Level) }).Level
 	var machines []*sched.Machine
 	for _, m := range c.order {
 		if c.open(now, m) {
-			machines = append(machines, c.snapshot(now, m))
+			view := c.snapshot(now, m)
+			// Room is kept only as long as there is work that it may be for.
+			view.Reserved = now.Before(m.reservedUntil) && highest <= m.reservedLevel
+			view.ReservedLevel = m.reservedLevel
+			machines = append(machines, view)
 		}
 	}
 	if len(machines) == 0 {
@@ -434,7 +439,7 @@
 		// began anew. It must not be taken for the old one, and can't be told
 		// from copies, so the machine is replaced.
 		return true
-	case len(m.attempts) == 0 && (m.draining || m.faulty || !m.noticeEnds.IsZero()):
+	case len(m.attempts) == 0 && m.retiring():
 		return true
 	}
 	heard := m.heardAt
@@ -464,7 +469,7 @@
 		t := c.types[m.typ]
 		p := provision.Machine{
 			ID: m.id, Offer: provision.Offer{Type: m.typ, Zone: m.zone, Spot: m.spot},
-			Total: m.total, Free: m.free, Open: !m.draining && !m.faulty && !m.replaced && m.noticeEnds.IsZero() && !m.deaf() && !(m.up && c.silent(now, m)),
+			Total: m.total, Free: m.free, Open: !m.retiring() && !m.replaced && !m.deaf() && !(m.up && c.silent(now, m)),
 			Idle: len(m.attempts) == 0 && m.up && m.confirmed && now.Sub(m.rentedAt) >= tuning.MinimumBill, IdleFor: now.Sub(m.idleFrom), Price: c.price(m),
 		}
 		if !m.up {
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -126,6 +126,9 @@
 			for _, v := range victims {
 				stop(v)
 			}
+			if len(victims) > 0 {
+				best.reserve(now, r.Level)
+			}
 			coming[best] = coming[best].Add(j.need, -1)
 			leaving[j.Team] -= j.CPUs
 		}
@@ -135,6 +138,17 @@
 	}
 }
 
+// reserve keeps the room that comes free on a machine, for a moment, from work of a lower
+// priority. The stopped tasks leave one by one: the first room would otherwise go to what
+// was stopped, which then had to be stopped again, and the task that it all was for would
+// not start either.
+func (m *machine) reserve(now time.Time, level int) {
+	if !now.Before(m.reservedUntil) || level < m.reservedLevel {
+		m.reservedLevel = level
+	}
+	m.reservedUntil = now.Add(tuning.PreemptReserve)
+}
+
 // ownVictim finds the task of the job's own team that loses least.
 func ownVictim(r *sched.Ready, machines []*machine, candidates map[*machine][]victim) (victim, bool) {
 	var best victim
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -69,11 +69,14 @@
 	Images map[string]float64
 	// Avoid names jobs whose tasks failed here.
 	Avoid map[string]bool
+	// Reserved keeps the machine from jobs with a priority lower than ReservedLevel.
+	Reserved      bool
+	ReservedLevel int
 	// Touched is set by a pass that has changed the machine's picture: it has
 	// to be made anew before the next one.
 	Touched bool
 
-	queuedLevel int // lowest priority level with a queued task, -1 for none
+	queuedLevel int // highest priority with a queued task or a reservation, -1 for none
 	version     int // raised by every change within a pass
 }
 
@@ -387,6 +390,9 @@
 	}
 	for _, m := range machines {
 		m.queuedLevel = -1
+		if m.Reserved {
+			m.queuedLevel = m.ReservedLevel
+		}
 		if m.Free.Fits(p.least) {
 			p.roomy = append(p.roomy, m)
 		}
@@ -540,7 +546,7 @@
 		team.Used = team.Used.Add(r.Need, 1)
 	} else {
 		p.queued++
-		if m.queuedLevel < 0 {
+		if m.queuedLevel < 0 || r.Level < m.queuedLevel {
 			m.queuedLevel = r.Level
 		}
 	}
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -50,6 +50,18 @@
 	return c.Check(c.now, ws)
 }
 
+// looks returns a look, a time later, for jobs that are left waiting.
+func (c *ruleCase) looks(errs *[]error) func(time.Duration) {
+	return func(d time.Duration) {
+		c.now = c.now.Add(d)
+		var ws []*standin.Worker
+		for _, w := range c.at {
+			ws = append(ws, w)
+		}
+		*errs = append(*errs, c.LeftWaiting(c.now, ws))
+	}
+}
+
 // told is an answer that leaves its node now and reaches the user in a moment.
 func (c *ruleCase) told(status int, state string) error {
 	given := c.now
@@ -168,13 +180,10 @@
 			c.now = c.now.Add(46 * time.Second)
 			return append(errs, c.Told(c.now, c.now, "job-2", 200, wire.JobQueued, false))
 		},
-		"left_waiting": func(c *ruleCase) []error {
+		"left_waiting: job-1 for 1m31s": func(c *ruleCase) []error {
 			w := c.worker("m1", "a", true)
 			errs := []error{c.told(201, wire.JobQueued)}
-			look := func(d time.Duration) {
-				c.now = c.now.Add(d)
-				errs = append(errs, c.LeftWaiting(c.now, []*standin.Worker{w}))
-			}
+			look := c.looks(&errs)
 			look(time.Second)
 			look(89 * time.Second)
 			// No room for a while: the wait is nobody's fault, and begins anew.
@@ -187,6 +196,53 @@
 			look(2 * time.Second)
 			return errs
 		},
+		"left_waiting: job-1 for 1m32s": func(c *ruleCase) []error {
+			// One task runs, and a start of another one ends the wait of the rest.
+			w := c.worker("m1", "a", true)
+			c.Teams[0].CPUsMax, c.job.CPUs = 0, 1
+			errs := []error{c.told(201, wire.JobQueued)}
+			look := c.looks(&errs)
+			c.put(w, "job-1/0", wire.TaskRunning, "")
+			look(time.Second)
+			look(89 * time.Second)
+			c.put(w, "job-1/1", wire.TaskFetching, "")
+			look(time.Second)
+			look(90 * time.Second)
+			look(2 * time.Second)
+			return errs
+		},
+		"left_waiting: job-1 for 1m33s": func(c *ruleCase) []error {
+			// A job for one zone has none where there is room, until a machine of its
+			// zone comes; the machine of the other zone is full.
+			c.Teams[0].CPUsMax, c.job.OneZone, c.job.CPUs = 0, true, 8
+			c.put(c.worker("m1", "a", true), "job-1/0", wire.TaskRunning, "")
+			errs := []error{c.told(201, wire.JobQueued)}
+			look := c.looks(&errs)
+			c.worker("m2", "b", true)
+			look(time.Second)
+			look(200 * time.Second)
+			c.worker("m3", "a", true)
+			look(time.Second)
+			look(89 * time.Second)
+			look(4 * time.Second)
+			return errs
+		},
+		"left_waiting: job-1 for 1m34s": func(c *ruleCase) []error {
+			// At most half of a job to be spread may be in one zone.
+			c.Teams[0].CPUsMax, c.job.Spread, c.job.CPUs = 0, true, 1
+			w := c.worker("m1", "a", true)
+			c.put(w, "job-1/0", wire.TaskRunning, "")
+			c.put(w, "job-1/1", wire.TaskRunning, "")
+			errs := []error{c.told(201, wire.JobQueued)}
+			look := c.looks(&errs)
+			look(time.Second)
+			look(200 * time.Second)
+			c.worker("m2", "b", true)
+			look(time.Second)
+			look(89 * time.Second)
+			look(5 * time.Second)
+			return errs
+		},
 	}
 	for want, play := range cases {
 		t.Run(want, func(t *testing.T) {
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -87,11 +87,9 @@
 	}
 	switch kind {
 	case NodeCrash:
-		w.crash(n, w.between(50, 5000))
+		w.crash(n, w.anyDownTime())
 	case NodesCrash:
-		for _, n := range w.nodes {
-			w.crash(n, w.between(50, 5000))
-		}
+		w.crashAll(w.anyDownTime)
 	case NodesFlap:
 		for range 4 {
 			w.after(w.between(0, 4000), func() { w.crash(n, w.between(1, 300)) })
@@ -148,9 +146,7 @@
 		w.gap()
 	case Successions:
 		for i := range 10 {
-			w.after(time.Duration(i)*w.between(11_000, 13_000), func() {
-				w.leaders(func(n *node) { w.crash(n, w.between(50, 5000)) })
-			})
+			w.after(time.Duration(i)*w.between(11_000, 13_000), func() { w.CrashLeader(w.anyDownTime()) })
 		}
 	case WritesLost:
 		w.writesLost = shareUntil{0.5, w.now.Add(span)}
@@ -184,11 +180,18 @@
 
 // CrashAll ends all controllers, to be back after a time.
 func (w *World) CrashAll(down time.Duration) {
+	w.crashAll(func() time.Duration { return down })
+}
+
+func (w *World) crashAll(down func() time.Duration) {
 	for _, n := range w.nodes {
-		w.crash(n, down)
+		w.crash(n, down())
 	}
 }
 
+// anyDownTime draws the time for which an ended process is away.
+func (w *World) anyDownTime() time.Duration { return w.between(50, 5000) }
+
 // CutHolders cuts a share of the machines that tasks are on, at least one, off
 // from everything.
 func (w *World) CutHolders(share float64, span time.Duration) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -229,6 +229,10 @@
 	// waiting tasks for which room is looked for on all machines.
 	PreemptStops = 16
 	PreemptLooks = 48
+	// PreemptReserve is how long room that is being made is kept from lower priorities:
+	// a stopped task's exit is reported within half a second, and with the next report
+	// if the direct call didn't reach its machine.
+	PreemptReserve = 4 * time.Second
 	// PreemptEvery paces these looks: a stopped task's room takes about as
 	// long to come free, and each looks at every task on every machine.
 	PreemptEvery = 250 * time.Millisecond
