--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -89,9 +89,9 @@
 	}
 }
 
-// TestLimitsToCome: both sets of limits hold at all times; without the table, or
+// TestUpcomingStateLimits: both sets of limits hold at all times; without the table, or
 // a field of it, nothing changes.
-func TestLimitsToCome(t *testing.T) {
+func TestUpcomingStateLimits(t *testing.T) {
 	before, err := config.Parse([]byte(settings))
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/controller/cancellation_test.go
@@ -0,0 +1,146 @@
+package controller_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/controller"
+	"switchshore.example/switchshore/wire"
+)
+
+// TestCancelStopsEverywhere: durable before it is told, stopped in the next
+// answer, and forgotten by no successor.
+func TestCancelStopsEverywhere(t *testing.T) {
+	l, tr := running(t)
+	var got controller.Verdict
+	l.Cancel(l.now, "job-1", func(v controller.Verdict) { got = v })
+	if got.Status != 0 {
+		t.Fatal("told before it is durable")
+	}
+	l.commit()
+	if got.State != wire.JobCancelled {
+		t.Fatalf("%+v", got)
+	}
+	if cs := l.report("m1", 1, tr); ops(cs) != "kill job-1/0" {
+		t.Fatal(ops(cs))
+	}
+	next := newLeader(t, 6, l.now, l.kept)
+	if cs := next.report("m1", 1, tr); ops(cs) != "kill job-1/0" {
+		t.Fatal("successor:", ops(cs))
+	}
+	if v := next.Query("job-1"); v.State != wire.JobCancelled {
+		t.Fatalf("%+v", v)
+	}
+}
+
+// TestUnwantedTaskIsStopped: a task of a job that nobody knows is ended and
+// then forgotten.
+func TestUnwantedTaskIsStopped(t *testing.T) {
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	tr := wire.TaskReport{Task: "job-9/3", Attempt: 7, State: wire.TaskRunning}
+	if cs := l.report("m1", 1, tr); ops(cs) != "kill job-9/3" {
+		t.Fatal(ops(cs))
+	}
+	tr.State, tr.Why = wire.TaskExited, wire.WhyStopped
+	if cs := l.report("m1", 1, tr); ops(cs) != "reap job-9/3" {
+		t.Fatal(ops(cs))
+	}
+}
+
+// TestGraceFitsCancellation: an old leader's last answer, a worker's lease
+// and a reserve fit into the time for cancellations.
+func TestGraceFitsCancellation(t *testing.T) {
+	for _, w := range []config.Workers{{LeaseS: 17, CancelS: 47}, {LeaseS: 22, CancelS: 47}, {LeaseS: 30, CancelS: 31}} {
+		g := controller.Grace(w)
+		if g < 0 || g > 0 && g.Seconds()+w.LeaseS >= w.CancelS {
+			t.Errorf("%+v: grace %v", w, g)
+		}
+	}
+}
+
+// TestLateStartOfEndedJobIsFenced: the machine is released well within the
+// time for cancellations.
+func TestLateStartOfEndedJobIsFenced(t *testing.T) {
+	l, call, _ := leaderWithUnansweredCall(t)
+	l.DirectDone(l.now, call, controller.DirectUnknown, nil)
+	l.Cancel(l.now, "job-1", func(controller.Verdict) {})
+	l.commit()
+	l.Listed(l.now, l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+	for range 30 {
+		l.report("m1", 1)
+		l.pass(time.Second)
+		l.commit()
+		if l.kept["j/job-1"] == nil {
+			t.Fatal("taken for gone while the start may come late")
+		}
+		for _, c := range l.Plan(l.now) {
+			if c.Op == controller.CloudRelease {
+				if len(c.Release) != 1 || c.Release[0] != "m1" {
+					t.Fatal(c.Release)
+				}
+				l.Released(l.now, c.Release)
+				l.commit()
+				if l.kept["j/job-1"] != nil {
+					t.Fatal("released, and still held")
+				}
+				return
+			}
+		}
+	}
+	t.Fatal("not released")
+}
+
+// TestLateStartOfEndedJobEndsItsSession: a machine to which a start of a cancelled
+// job may come late, and that nobody can release as the state service is away, is
+// not answered any more once its lease would outlast the time for the cancellation,
+// until its worker is in a new session, in which the start is void.
+func TestLateStartOfEndedJobEndsItsSession(t *testing.T) {
+	l, call, _ := leaderWithUnansweredCall(t)
+	l.DirectDone(l.now, call, controller.DirectUnknown, nil)
+	l.Cancel(l.now, "job-1", func(controller.Verdict) {})
+	l.commit()
+	asked, last := l.now, l.now
+	report := func(session uint64) controller.ReportOutcome {
+		l.seq++
+		_, receipt := l.Report(l.now, &wire.Report{Machine: "m1", Addr: "m1:9", Type: "std-8", Zone: "a", Session: session, Seq: l.seq, Token: l.Term()}, false)
+		return receipt
+	}
+	for l.now.Sub(asked) < 60*time.Second {
+		if report(1) == controller.ReportApplied {
+			last = l.now
+		}
+		l.now = l.now.Add(time.Second)
+		l.Tick(l.now, false)
+	}
+	over := last.Sub(asked).Seconds() + params.Workers.LeaseS
+	if over >= params.Workers.CancelS || last.Sub(asked) < 5*time.Second {
+		t.Fatalf("answered until %v: the session may last until %v s", last.Sub(asked), over)
+	}
+	if report(2) != controller.ReportApplied {
+		t.Fatal("a new session is answered")
+	}
+}
+
+// TestEveryAnswerStops: every answer renews the lease, so every answer carries the
+// stops of what nobody wants: also one to a worker that has not seen this term, and
+// one to a report that the answer to a direct call has overtaken.
+func TestEveryAnswerStops(t *testing.T) {
+	l, tr := running(t)
+	l.Cancel(l.now, "job-1", func(controller.Verdict) {})
+	l.commit()
+	next := newLeader(t, 6, l.now.Add(time.Second), l.kept)
+	list := []wire.TaskReport{tr, {Task: "job-9/0", Attempt: 1, State: wire.TaskFetching}, {Task: "job-9/1", Attempt: 1, State: wire.TaskExited, Why: wire.WhyError}}
+	a, receipt := next.Report(next.now, &wire.Report{Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: 50, Token: 5, Tasks: list}, false)
+	if receipt != controller.ReportApplied || ops(a.Commands) != "kill job-1/0, kill job-9/0" || a.Commands[0].Attempt != tr.Attempt {
+		t.Fatalf("first heard in a term: %s", ops(a.Commands))
+	}
+	l, call, _ := leaderWithUnansweredCall(t)
+	l.seq++
+	l.DirectDone(l.now, call, controller.DirectAnswered, &wire.Report{Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: l.seq + 1, Token: 5, Tasks: []wire.TaskReport{tr}})
+	l.Cancel(l.now, "job-1", func(controller.Verdict) {})
+	if cs := l.report("m1", 1, tr); ops(cs) != "kill job-1/0" {
+		t.Fatalf("overtaken by the answer to a direct call: %q", ops(cs))
+	}
+}
--- a/internal/controller/consolidate.go
+++ b/internal/controller/consolidate.go
@@ -14,20 +14,11 @@
 // otherwise stay for its longest task, mostly empty. Their tasks save, stop and
 // are placed again by the rule.
 func (c *Controller) consolidate(now time.Time) {
-	if now.Sub(c.lastMove) < tuning.MoveEvery {
+	if now.Sub(c.lastConsolidation) < tuning.MoveEvery {
 		return
 	}
-	c.lastMove = now
-	var movable, others []*machine
-	for _, m := range c.order {
-		switch {
-		case !c.open(now, m):
-		case c.movable(now, m):
-			movable = append(movable, m)
-		default:
-			others = append(others, m)
-		}
-	}
+	c.lastConsolidation = now
+	movable, others := c.byMovability(now)
 	if len(movable) < 2 {
 		return
 	}
@@ -40,54 +31,82 @@
 	for _, m := range targets {
 		room[m] = m.free
 	}
-	// Work that waits goes before tasks that run already.
-	for _, j := range c.activeJobs() {
-		rest := targets // room only shrinks here: what has none for one has none for the next
-		for range j.ready {
-			i := roomFor(j, rest, room)
-			if i < 0 {
-				break
-			}
-			rest = rest[i:]
-			room[rest[0]] = room[rest[0]].Add(j.need, -1)
-		}
-	}
+	c.keepRoomForReady(targets, room)
 	moves := 0
 	for i, m := range movable {
-		if moves >= max(1, len(c.order)/tuning.MoveParts) {
+		if moves >= max(1, len(c.machinesByName)/tuning.MoveParts) {
 			break
 		}
 		if room[m] != m.free {
 			continue // it has got or will get work
 		}
-		targets := slices.Concat(others, movable[i+1:])
-		slices.SortStableFunc(targets, func(a, b *machine) int { return cmp.Compare(room[a].CPUs, room[b].CPUs) })
-		to := make([]*machine, 0, len(m.attempts))
-		for _, a := range m.attempts {
-			i := roomFor(a.job, targets, room)
+		if moveAll(m, slices.Concat(others, movable[i+1:]), room) {
+			moves++
+			c.empty(m)
+		}
+	}
+	if moves > 0 {
+		c.log.Debug().Int("machines", moves).Msg("consolidating")
+	}
+}
+
+// byMovability divides the machines that take work into those that may be emptied and
+// the others.
+func (c *Controller) byMovability(now time.Time) (movable, others []*machine) {
+	for _, m := range c.machinesByName {
+		switch {
+		case !c.acceptsWork(now, m):
+		case c.movable(now, m):
+			movable = append(movable, m)
+		default:
+			others = append(others, m)
+		}
+	}
+	return movable, others
+}
+
+// keepRoomForReady takes the room of the work that waits: it goes before tasks that run
+// already.
+func (c *Controller) keepRoomForReady(targets []*machine, room map[*machine]sched.Resources) {
+	for _, j := range c.activeJobs() {
+		rest := targets // room only shrinks here: what has none for one has none for the next
+		for range j.ready {
+			i := roomFor(j, rest, room)
 			if i < 0 {
 				break
 			}
-			t := targets[i]
-			room[t] = room[t].Add(a.job.need, -1)
-			to = append(to, t)
+			rest = rest[i:]
+			room[rest[0]] = room[rest[0]].Add(j.need, -1)
 		}
-		if len(to) < len(m.attempts) {
+	}
+}
+
+// moveAll takes room for all tasks of a machine on others, the fullest first, or none.
+func moveAll(m *machine, targets []*machine, room map[*machine]sched.Resources) bool {
+	slices.SortStableFunc(targets, func(a, b *machine) int { return cmp.Compare(room[a].CPUs, room[b].CPUs) })
+	to := make([]*machine, 0, len(m.attempts))
+	for _, a := range m.attempts {
+		i := roomFor(a.job, targets, room)
+		if i < 0 {
 			for k, t := range to {
 				room[t] = room[t].Add(m.attempts[k].job.need, 1)
 			}
-			continue
-		}
-		moves++
-		m.draining = true
-		for _, a := range m.attempts {
-			a.stop, a.grace = true, a.job.SaveS
+			return false
 		}
-		c.callSoon(m)
+		t := targets[i]
+		room[t] = room[t].Add(a.job.need, -1)
+		to = append(to, t)
 	}
-	if moves > 0 {
-		c.log.Debug().Int("machines", moves).Msg("consolidating")
+	return true
+}
+
+// empty lets the tasks of a machine save and stop; it takes no more work.
+func (c *Controller) empty(m *machine) {
+	m.draining = true
+	for _, a := range m.attempts {
+		a.stop, a.grace = true, a.job.SaveS
 	}
+	c.scheduleCall(m)
 }
 
 // movable reports whether all tasks of the machine can take their progress
@@ -112,8 +131,8 @@
 // roomFor finds the first machine that may take a task of the job and has
 // room for it, or returns -1.
 func roomFor(j *job, targets []*machine, room map[*machine]sched.Resources) int {
-	probe := j.probe()
+	probe := j.constraints()
 	return slices.IndexFunc(targets, func(m *machine) bool {
-		return room[m].Fits(j.need) && !m.avoid[j.ID] && probe.Allowed(m.place())
+		return room[m].Fits(j.need) && !m.avoid[j.ID] && probe.Allowed(m.placement())
 	})
 }
--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -31,21 +31,27 @@
 	DirectUnknown
 )
 
+// directCalls are the machines with something to be told directly, and the calls under way.
+type directCalls struct {
+	callQueue     []*machine
+	callsInFlight int
+}
+
 // Direct lists the calls to be made now: starts whose record is durable, and
 // stops, to machines heard of lately, so that they need not wait for the next
 // report.
 func (c *Controller) Direct(now time.Time) []*DirectCall {
 	var calls []*DirectCall
 	next := 0
-	for ; next < len(c.calls) && c.calling < c.maxCalls(); next++ {
-		m := c.calls[next]
+	for ; next < len(c.callQueue) && c.callsInFlight < c.maxCalls(); next++ {
+		m := c.callQueue[next]
 		m.queued = false
-		if m.calling || m.addr == "" || now.Before(m.callAfter) || !m.confirmed || m.deaf() || c.silent(now, m) || c.machines[m.id] != m {
+		if m.calling || m.addr == "" || now.Before(m.callAfter) || !m.confirmed || m.losesAnswers() || c.isSilent(now, m) || c.machines[m.id] != m {
 			// The answer to the next report carries it.
 			continue
 		}
-		call := &DirectCall{Machine: m.id, Addr: m.addr, Request: wire.CommandRequest{Token: c.term, Session: m.session}, seq: m.seq}
-		open := c.open(now, m)
+		call := &DirectCall{Machine: m.id, Addr: m.addr, Request: wire.CommandRequest{Token: c.term, Session: m.session}, seq: m.sequence}
+		open := c.acceptsWork(now, m)
 		for _, a := range m.attempts {
 			if a.stop && a.state >= fetching && !a.stopSent {
 				// A late stop does no harm: attempts are never reused.
@@ -53,7 +59,7 @@
 				call.Request.Commands = append(call.Request.Commands, a.stopCommand())
 				continue
 			}
-			if !open || a.state != ordered || !a.wanted() || a.direct || a.sentSeq != 0 || len(call.attempts) >= tuning.AnswerCommands {
+			if !open || a.state != startSent || !a.wanted() || a.direct || a.sentSeq != 0 || len(call.attempts) >= tuning.AnswerCommands {
 				continue
 			}
 			a.direct = true
@@ -62,22 +68,22 @@
 		}
 		if len(call.Request.Commands) > 0 {
 			m.calling = true
-			c.calling++
+			c.callsInFlight++
 			calls = append(calls, call)
 		}
 	}
-	c.calls = c.calls[next:]
-	if len(c.calls) == 0 {
-		c.calls = nil
+	c.callQueue = c.callQueue[next:]
+	if len(c.callQueue) == 0 {
+		c.callQueue = nil
 	}
 	return calls
 }
 
-// callSoon puts a machine in the list of those with something to be told.
-func (c *Controller) callSoon(m *machine) {
+// scheduleCall puts a machine in the list of those with something to be told.
+func (d *directCalls) scheduleCall(m *machine) {
 	if !m.queued {
 		m.queued = true
-		c.calls = append(c.calls, m)
+		d.callQueue = append(d.callQueue, m)
 	}
 }
 
@@ -100,13 +106,13 @@
 			a.direct = false
 		}
 	}
-	c.calling--
+	c.callsInFlight--
 	m := c.machines[call.Machine]
 	if m == nil {
 		return
 	}
 	m.calling = false
-	c.callSoon(m)
+	c.scheduleCall(m)
 	if outcome != DirectAnswered {
 		m.callAfter = now.Add(tuning.DirectPause)
 		return
@@ -122,9 +128,9 @@
 		m.replaced = true
 		return
 	}
-	if r.Token != c.term || m.old(r) {
+	if r.Token != c.term || m.isStale(r) {
 		return
 	}
-	c.newer(m, r)
-	c.take(now, m, r, false)
+	c.advanceSequence(m, r)
+	c.applyReport(now, m, r, false)
 }
--- /dev/null
+++ b/internal/controller/estimates.go
@@ -0,0 +1,106 @@
+package controller
+
+import (
+	"time"
+
+	"switchshore.example/switchshore/internal/tuning"
+)
+
+// runTimes is the ratio of run times to their estimates, by class.
+type runTimes map[string]float64
+
+// observe learns from a task that has run for so many seconds.
+func (r runTimes) observe(j *job, ran float64) {
+	ratio := ran / max(j.EstimateS, tuning.MinimumEstimate)
+	old, ok := r[j.Class]
+	if !ok {
+		old = 1
+	}
+	r[j.Class] = old + (ratio-old)*tuning.EstimateWeight
+}
+
+// estimate is a task's run time in seconds.
+func (r runTimes) estimate(j *job) float64 {
+	estimate := max(j.EstimateS, tuning.MinimumEstimate)
+	if ratio, ok := r[j.Class]; ok {
+		estimate *= ratio
+	}
+	return estimate
+}
+
+func (c *Controller) estimate(j *job) float64 { return c.runTimes.estimate(j) }
+
+// urgency orders jobs of one priority: by slack, and by the time that all
+// machines together would need for the rest of the job, as under a backlog
+// more jobs end in time when the small ones go first. Jobs without a time to
+// meet follow.
+func (c *Controller) urgency(now time.Time, j *job, cpus float64) float64 {
+	work := float64(j.Tasks-j.done.Len()) * j.CPUs * c.estimate(j) / max(cpus, 1)
+	if slack, ok := c.slack(now, j); ok {
+		return slack + tuning.SizeWeight*work
+	}
+	return tuning.LateSlack - now.Sub(j.since).Seconds()
+}
+
+// remaining is the run time left of an attempt by its estimate, at least zero.
+func (c *Controller) remaining(now time.Time, a *attempt) float64 {
+	ran := a.job.progress[a.index]
+	if !a.runningAt.IsZero() {
+		ran += now.Sub(a.runningAt).Seconds()
+	}
+	return max(0, c.estimate(a.job)-ran)
+}
+
+// horizon is the time within which a job's tasks should begin: a part of its
+// slack, so that pressing work makes the planner rent and patient work waits
+// for the machines there are.
+func (c *Controller) horizon(now time.Time, j *job) float64 {
+	if c.operator.HorizonS > 0 {
+		return c.operator.HorizonS
+	}
+	slack, ok := c.slack(now, j)
+	if !ok {
+		return tuning.PlanHorizon.Seconds()
+	}
+	return min(max(slack*tuning.PlanSlack, tuning.PlanHorizonMin.Seconds()), tuning.PlanHorizonMax.Seconds())
+}
+
+// remainingEstimate is the run time by its estimate of a job's ready tasks, of the one with
+// the least progress, or of a whole task if none is ready.
+func (c *Controller) remainingEstimate(j *job) float64 {
+	whole := c.estimate(j)
+	if len(j.progress) == 0 || len(j.ready) == 0 || len(j.ready) > len(j.progress) {
+		return whole
+	}
+	least := whole
+	for _, index := range j.ready {
+		least = min(least, j.progress[index])
+	}
+	return max(tuning.MinimumEstimate, whole-least)
+}
+
+// slack is the time that may pass before a job can no longer be in time, by
+// the deadline on its path and the objectives: of those it can still meet the
+// nearest. It is false if there is none.
+func (c *Controller) slack(now time.Time, j *job) (float64, bool) {
+	rest := c.remainingEstimate(j)
+	best, found := 0.0, false
+	due := func(since time.Time, after float64) {
+		if s := after - now.Sub(since).Seconds() - rest; s >= 0 && (!found || s < best) {
+			best, found = s, true
+		}
+	}
+	last, left := j.path.last, j.path.left.Seconds()
+	if last != nil {
+		due(last.submitted, *last.DeadlineS-left)
+	}
+	for _, o := range c.params.Objectives {
+		switch {
+		case o.Kind == "deadline" && last != nil && o.Class == last.Class:
+			due(last.submitted, *last.DeadlineS*max(o.Times, 1)-left)
+		case o.Kind == "finished" && o.WithinS > 0 && o.Class == j.Class:
+			due(j.since, o.WithinS)
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/internal/controller/failures.go
@@ -0,0 +1,56 @@
+package controller
+
+import (
+	"switchshore.example/switchshore/internal/tuning"
+)
+
+// Whose fault a failure is shows only by where else the job fails or ends. A job that
+// has failed on several machines, and ended on none, is taken for one submitted with a
+// mistake: no machine gets a bad name by it. Once a task of it ends somewhere, the
+// machines where it failed are to blame. One on which several jobs failed in a row is
+// faulty.
+
+// recordTaskFailure notes that a task of the job has failed on the machine.
+func (c *Controller) recordTaskFailure(j *job, m *machine) {
+	if j.failedOn == nil {
+		j.failedOn = map[string]bool{}
+	}
+	j.failedOn[m.id] = true
+	m.avoid[j.ID] = true
+	if !j.failsEverywhere() {
+		m.countFailedJob(c, j)
+		return
+	}
+	for id := range j.failedOn {
+		if o := c.machines[id]; o != nil {
+			delete(o.failedJobs, j.ID)
+			o.faulty = len(o.failedJobs) >= tuning.FaultyJobs
+		}
+	}
+}
+
+// recordTaskSuccess notes that a task of the job has ended on the machine.
+func (c *Controller) recordTaskSuccess(j *job, m *machine) {
+	if !m.faulty {
+		clear(m.failedJobs)
+	}
+	for id := range j.failedOn {
+		if o := c.machines[id]; o != nil && o != m {
+			o.countFailedJob(c, j)
+		}
+	}
+	clear(j.failedOn)
+}
+
+func (m *machine) countFailedJob(c *Controller, j *job) {
+	m.failedJobs[j.ID] = true
+	if len(m.failedJobs) >= tuning.FaultyJobs && !m.faulty {
+		c.log.Info().Str("machine", m.id).Msg("faulty machine, draining")
+		m.faulty = true
+	}
+}
+
+// failsEverywhere reports whether the job seems to fail everywhere.
+func (j *job) failsEverywhere() bool {
+	return len(j.failedOn) >= tuning.FailsEverywhereMachines && j.done.Len() == 0
+}
--- /dev/null
+++ b/internal/controller/helpers_test.go
@@ -0,0 +1,200 @@
+package controller_test
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/controller"
+	"switchshore.example/switchshore/wire"
+)
+
+var (
+	start   = time.Unix(1_700_000_000, 0)
+	bigType = wire.MachineType{Name: "std-8", CPUs: 8, MemoryGB: 32, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a"}}
+	params  = config.Params{
+		Teams:   []config.Team{{Name: "blue", CPUs: 8, CPUsMax: 16}},
+		Workers: config.Workers{ReportS: 3, LeaseS: 15, CancelS: 45},
+		State:   config.State{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 48},
+		Cloud:   config.Cloud{RPS: 5, ListLagS: 4},
+	}
+)
+
+func spec(id string) *wire.Job {
+	return &wire.Job{
+		ID: id, Class: "c", Team: "blue", Kind: wire.KindArray, Priority: wire.PriorityHigh,
+		Tasks: 1, CPUs: 2, MemoryGB: 1, Image: "img", ImageGB: 1, Spot: true, EstimateS: 30,
+	}
+}
+
+// leader is a controller with a map in the place of the state service.
+type leader struct {
+	*controller.Controller
+	t    *testing.T
+	now  time.Time
+	kept map[string]json.RawMessage
+	seq  uint64
+}
+
+func newLeader(t *testing.T, term uint64, now time.Time, kept map[string]json.RawMessage) *leader {
+	t.Helper()
+	c := controller.New(zerolog.Nop(), params, config.Operator{}, term, now, controller.Grace(params.Workers))
+	for _, prefix := range controller.Prefixes {
+		for _, k := range slices.Sorted(maps.Keys(kept)) {
+			if strings.HasPrefix(k, prefix) {
+				if err := c.Load(now, now, wire.Item{Key: k, Value: kept[k]}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	}
+	c.Loaded(now)
+	c.SetTypes([]wire.MachineType{bigType})
+	return &leader{Controller: c, t: t, now: now, kept: kept}
+}
+
+// keep makes changes durable.
+func (l *leader) keep(writes []wire.Write) {
+	for _, w := range writes {
+		if w.Delete != "" {
+			delete(l.kept, w.Delete)
+		} else {
+			l.kept[w.Put] = w.Value
+		}
+	}
+}
+
+// commit makes all queued changes durable.
+func (l *leader) commit() {
+	for b := l.NextBatch(10, 10); b != nil; b = l.NextBatch(10, 10) {
+		l.keep(b.Writes)
+		l.Committed(b, nil)
+	}
+}
+
+func (l *leader) pass(d time.Duration) {
+	l.now = l.now.Add(d)
+	l.Tick(l.now, true)
+}
+
+func (l *leader) report(machine string, session uint64, tasks ...wire.TaskReport) []wire.Command {
+	l.t.Helper()
+	l.seq++
+	a, receipt := l.Report(l.now, &wire.Report{
+		Machine: machine, Addr: machine + ":9", Type: "std-8", Zone: "a", Session: session, Seq: l.seq, Token: l.Term(), Tasks: tasks,
+	}, true)
+	if receipt == controller.ReportSuperseded {
+		l.t.Fatal("report refused")
+	}
+	return a.Commands
+}
+
+// planned returns the machines of a release that the planner asks for now, if
+// the given one is among them.
+func (l *leader) planned(machine string) []string {
+	for _, c := range l.Plan(l.now) {
+		if c.Op == controller.CloudRelease && slices.Contains(c.Release, machine) {
+			return c.Release
+		}
+	}
+	return nil
+}
+
+// onlyAfterRelease checks that the task of m1 does not go to m2 before m1 is
+// released, that it is released, and that the task goes to m2 then. each runs
+// in every step.
+func (l *leader) onlyAfterRelease(step time.Duration, each func()) {
+	l.t.Helper()
+	for range 40 {
+		l.pass(step)
+		each()
+		l.report("m2", 1)
+		l.commit()
+		if cs := l.report("m2", 1); len(cs) != 0 {
+			l.t.Fatalf("placed elsewhere before the release: %s", ops(cs))
+		}
+		if release := l.planned("m1"); release != nil {
+			l.Released(l.now, release)
+			l.pass(time.Second)
+			l.commit()
+			if cs := l.report("m2", 1); ops(cs) != "run job-1/0" {
+				l.t.Fatalf("after the release: %q", ops(cs))
+			}
+			return
+		}
+	}
+	l.t.Fatal("not released")
+}
+
+func (l *leader) submit(id string) {
+	l.t.Helper()
+	var got controller.Verdict
+	l.Submit(l.now, l.now, spec(id), func(v controller.Verdict) { got = v })
+	if got.Status != 0 {
+		l.t.Fatalf("answered %d before the job was durable", got.Status)
+	}
+	l.commit()
+	if got.Status != 201 {
+		l.t.Fatalf("submission: %+v", got)
+	}
+}
+
+func ops(cs []wire.Command) string {
+	var out []string
+	for _, c := range cs {
+		out = append(out, c.Op+" "+c.Task)
+	}
+	return strings.Join(out, ", ")
+}
+
+// running brings one job's only task to run on m1.
+func running(t *testing.T) (*leader, wire.TaskReport) {
+	t.Helper()
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	l.submit("job-1")
+	l.report("m1", 1)
+	l.pass(time.Second)
+	if cs := l.report("m1", 1); len(cs) != 0 {
+		t.Fatalf("started before its record was durable: %s", ops(cs))
+	}
+	l.commit()
+	cs := l.report("m1", 1)
+	if ops(cs) != "run job-1/0" {
+		t.Fatalf("want a start, got %q", ops(cs))
+	}
+	tr := wire.TaskReport{Task: "job-1/0", Attempt: cs[0].Attempt, State: wire.TaskRunning}
+	if cs := l.report("m1", 1, tr); len(cs) != 0 {
+		t.Fatal(ops(cs))
+	}
+	return l, tr
+}
+
+// rents reports whether a plan rents.
+func rents(calls []controller.CloudCall) bool {
+	return slices.ContainsFunc(calls, func(c controller.CloudCall) bool { return c.Op == controller.CloudRent })
+}
+
+// leaderWithUnansweredCall brings a start for m1 into a direct call.
+func leaderWithUnansweredCall(t *testing.T) (*leader, *controller.DirectCall, wire.TaskReport) {
+	t.Helper()
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	l.submit("job-1")
+	l.report("m1", 1)
+	l.pass(time.Second)
+	if calls := l.Direct(l.now); len(calls) != 0 {
+		t.Fatal("called before the record was durable")
+	}
+	l.commit()
+	calls := l.Direct(l.now)
+	if len(calls) != 1 || ops(calls[0].Request.Commands) != "run job-1/0" || calls[0].Request.Token != 5 || calls[0].Request.Session != 1 {
+		t.Fatalf("%+v", calls)
+	}
+	tr := wire.TaskReport{Task: "job-1/0", Attempt: calls[0].Request.Commands[0].Attempt, State: wire.TaskRunning}
+	return l, calls[0], tr
+}
--- /dev/null
+++ b/internal/controller/job.go
@@ -0,0 +1,214 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+	"strconv"
+	"time"
+
+	"switchshore.example/switchshore/internal/ranges"
+	"switchshore.example/switchshore/internal/sched"
+	"switchshore.example/switchshore/internal/tuning"
+	"switchshore.example/switchshore/wire"
+)
+
+const (
+	finalDone      = 'd'
+	finalCancelled = 'c'
+)
+
+// final is the end of a job, stored as "d14" or "c3": how, and how many of
+// its tasks were done.
+type final struct {
+	how  byte
+	done int32
+}
+
+func (f final) value() json.RawMessage {
+	return json.RawMessage(`"` + string(f.how) + strconv.Itoa(int(f.done)) + `"`)
+}
+
+func parseFinal(value json.RawMessage) (final, error) {
+	var text string
+	if err := json.Unmarshal(value, &text); err != nil {
+		return final{}, err
+	}
+	if text == "" || text[0] != finalDone && text[0] != finalCancelled {
+		return final{}, fmt.Errorf("final state %q", text)
+	}
+	n, err := strconv.ParseInt(text[1:], 10, 32)
+	return final{text[0], int32(n)}, err
+}
+
+type jobState int
+
+const (
+	jobAccepting jobState = iota // not durable yet
+	jobActive
+	jobCancelled // its record stays until no task may be on a machine
+	jobDone
+)
+
+type job struct {
+	wire.Job
+	at        int64 // submission, time of day in milliseconds
+	submitted time.Time
+	// since is when its waits begin: when it was submitted, or the last job
+	// that it needs was done.
+	since time.Time
+	// level is its priority, or that of a job that needs it, if higher.
+	level     int
+	path      criticalPath
+	state     jobState
+	endedAt   time.Time // when its end was decided, in this term
+	openNeeds int       // jobs that it needs and that are not over
+	// needCancelled: a job that it needs was cancelled, and so will it be.
+	needCancelled bool
+	cyclic        bool // its path can't be derived: damaged records lead in a circle
+	pathScheduled bool // among those to be reweighed
+	stored        bool // the acceptance is durable
+	ended         bool // the final state is durable
+	done          *ranges.Set
+	durable       *ranges.Set // completions known to be stored
+	ready         []int32     // tasks to be placed, last first
+	holders       map[int32]int8
+	held          int // tasks that may be on a machine
+	// claims are the attempts known from start records while those are loaded.
+	claims  map[int32]*attempt
+	running int
+	inZone  map[string]int
+	need    sched.Resources
+
+	// progress is what tasks that are to run again have saved, in seconds, as
+	// far as this term has seen it.
+	progress map[int32]float64
+
+	failures int
+	// failedOn are the machines where tasks have failed since one was done.
+	failedOn map[string]bool
+	notUntil time.Time
+	// startAt is when a task of the job was last placed, or when the job came.
+	startAt time.Time
+	waiting []func(ok bool) // told when the acceptance is durable
+	chunks  map[int]bool    // parts of the done-set to be written
+	// keys are the records of the job beside its own.
+	keys map[string]bool
+}
+
+func newJob(spec wire.Job, at int64, since time.Time) *job {
+	j := &job{
+		Job:       spec,
+		at:        at,
+		submitted: since,
+		since:     since,
+		startAt:   since,
+		done:      ranges.New(spec.Tasks),
+		holders:   map[int32]int8{},
+		inZone:    map[string]int{},
+		chunks:    map[int]bool{},
+		keys:      map[string]bool{},
+		need:      sched.Resources{CPUs: spec.CPUs, GPUs: spec.GPUs, MemoryGB: spec.MemoryGB},
+	}
+	j.level, j.path = j.standalonePath()
+	return j
+}
+
+// wants reports whether a task of the job is still to run.
+func (j *job) wants(index int) bool { return j.state == jobActive && !j.done.Has(index) }
+
+// fillReady queues every task that is neither done nor maybe on a machine.
+func (j *job) fillReady() {
+	j.ready = j.ready[:0]
+	for i := j.Tasks - 1; i >= 0; i-- {
+		if !j.done.Has(i) && j.holders[int32(i)] == 0 {
+			j.ready = append(j.ready, int32(i))
+		}
+	}
+}
+
+// undecided reports whether a job's state can't be told now: its acceptance is
+// not durable, so whether it exists is not decided, or it is being cancelled
+// together with one that it needs. However long that takes to become durable,
+// nobody hears any more that the job waits or runs.
+func (j *job) undecided() bool { return !j.stored || j.needCancelled && !j.ended }
+
+// releaseTask counts one holder of a task less, and queues the task again if
+// none is left.
+func (c *Controller) releaseTask(j *job, index int32) {
+	j.holders[index]--
+	if j.holders[index] > 0 {
+		return
+	}
+	delete(j.holders, index)
+	j.held--
+	if j.state == jobActive && !j.done.Has(int(index)) {
+		j.ready = append(j.ready, index)
+	}
+	c.changed = true
+	c.tidy(j)
+}
+
+// backOffAfterFailure makes a job with failing tasks back off.
+func (c *Controller) backOffAfterFailure(now time.Time, j *job) {
+	j.failures++
+	d := tuning.RetryMin << min(j.failures-1, 10)
+	if d > tuning.RetryMax {
+		d = tuning.RetryMax
+	}
+	j.notUntil = now.Add(d)
+}
+
+func (c *Controller) backOff(j *job, until time.Time) {
+	if until.After(j.notUntil) {
+		j.notUntil = until
+	}
+}
+
+// recordProgress notes the progress that an attempt that is gone has saved: by itself at
+// every interval, and when it was stopped with time to save.
+func (j *job) recordProgress(now time.Time, a *attempt) {
+	if a.runningAt.IsZero() || j.CheckpointS <= 0 || j.done.Has(int(a.index)) {
+		return
+	}
+	ran := now.Sub(a.runningAt).Seconds()
+	if !a.saved {
+		ran = math.Floor(ran/j.CheckpointS) * j.CheckpointS
+	}
+	if ran > 0 {
+		if j.progress == nil {
+			j.progress = map[int32]float64{}
+		}
+		j.progress[a.index] += ran
+	}
+}
+
+func (c *Controller) sortedJobs() []*job {
+	js := make([]*job, 0, len(c.jobs))
+	for _, j := range c.jobs {
+		js = append(js, j)
+	}
+	sortByID(js)
+	return js
+}
+
+func sortByID(js []*job) {
+	sort.Slice(js, func(i, k int) bool { return js[i].ID < js[k].ID })
+}
+
+func (j *job) removeReady(index int32) {
+	if i := slices.Index(j.ready, index); i >= 0 {
+		j.ready = slices.Delete(j.ready, i, i+1)
+	}
+}
+
+// tellWaiting answers all who wait for the job's acceptance or end; ok is false if the
+// term is over and nothing is decided.
+func (j *job) tellWaiting(ok bool) {
+	for _, tell := range j.waiting {
+		tell(ok)
+	}
+	j.waiting = nil
+}
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -19,6 +19,12 @@
 // submissions.
 var Prefixes = []string{keyTypes, "n/", "j/", "d/", "f/", "m/", "s/"}
 
+// loading is what is kept only while stored records are loaded.
+type loading struct {
+	loadedStarts []*pendingRecord  // a predecessor's start records
+	pieces       map[string][]byte // parts of job records, by key
+}
+
 // Load takes in one stored record; wall and now relate the time of day in
 // the records to the steady clock.
 func (c *Controller) Load(now, wall time.Time, item wire.Item) error {
@@ -39,59 +45,21 @@
 	return fmt.Errorf("%w %s: %w", ErrDamaged, item.Key, err)
 }
 
+// load takes in a record by the part of its key before the first slash.
 func (c *Controller) load(now, wall time.Time, kind, id string, value json.RawMessage) error {
 	switch kind {
 	case "c":
-		var types []wire.MachineType
-		if err := json.Unmarshal(value, &types); err != nil {
-			return err
-		}
-		c.catalogue = value // as stored: nothing to be written
-		c.SetTypes(types)
+		return c.loadTypes(value)
 	case "n":
-		var piece []byte
-		err := json.Unmarshal(value, &piece)
-		c.pieces["n/"+id] = piece
-		return err
+		return c.loadPiece(id, value)
 	case "j":
 		return c.loadJob(now, wall, id, value)
 	case "d":
-		key := "d/" + id
-		id, _, _ := strings.Cut(id, "/")
-		j := c.jobs[id]
-		if j == nil {
-			// Left by a leader of an earlier version, which doesn't know of it.
-			c.bulk.del(key)
-			return nil
-		}
-		j.keys[key] = true
-		var text string
-		if err := json.Unmarshal(value, &text); err != nil {
-			return err
-		}
-		if j.durable == nil {
-			j.durable = ranges.New(j.Tasks)
-		}
-		return ranges.Each(text, j.Tasks, func(i int) {
-			j.done.Add(i)
-			j.durable.Add(i)
-		})
+		return c.loadCompletions(id, value)
 	case "f":
-		f, err := parseFinal(value)
-		if err != nil {
-			return err
-		}
-		c.finals[id] = f
-		if j := c.jobs[id]; j != nil {
-			j.ended = true
-			j.state = jobCancelled
-			if f.how == finalDone {
-				j.state = jobDone
-			}
-			c.active -= j.Tasks
-		}
+		return c.loadFinal(id, value)
 	case "m":
-		rec := machineStarts{}
+		var rec machineStarts
 		if err := json.Unmarshal(value, &rec); err != nil {
 			return err
 		}
@@ -107,10 +75,70 @@
 	return nil
 }
 
+func (c *Controller) loadTypes(value json.RawMessage) error {
+	var types []wire.MachineType
+	if err := json.Unmarshal(value, &types); err != nil {
+		return err
+	}
+	c.catalogue = value // as stored: nothing to be written
+	c.SetTypes(types)
+	return nil
+}
+
+// loadPiece keeps a piece of a job record until the job is loaded.
+func (c *Controller) loadPiece(id string, value json.RawMessage) error {
+	var piece []byte
+	err := json.Unmarshal(value, &piece)
+	c.pieces["n/"+id] = piece
+	return err
+}
+
+func (c *Controller) loadCompletions(id string, value json.RawMessage) error {
+	key := "d/" + id
+	jobID, _, _ := strings.Cut(id, "/")
+	j := c.jobs[jobID]
+	if j == nil {
+		// Left by a leader of an earlier version, which doesn't know of it.
+		c.backgroundWrites.del(key)
+		return nil
+	}
+	j.keys[key] = true
+	var completed string
+	if err := json.Unmarshal(value, &completed); err != nil {
+		return err
+	}
+	if j.durable == nil {
+		j.durable = ranges.New(j.Tasks)
+	}
+	return ranges.Each(completed, j.Tasks, func(i int) {
+		j.done.Add(i)
+		j.durable.Add(i)
+	})
+}
+
+func (c *Controller) loadFinal(id string, value json.RawMessage) error {
+	f, err := parseFinal(value)
+	if err != nil {
+		return err
+	}
+	c.finals[id] = f
+	j := c.jobs[id]
+	if j == nil {
+		return nil
+	}
+	j.ended = true
+	j.state = jobCancelled
+	if f.how == finalDone {
+		j.state = jobDone
+	}
+	c.active -= j.Tasks
+	return nil
+}
+
 // loadStarts takes in a start record: its machines may hold its tasks.
 func (c *Controller) loadStarts(now time.Time, key string, machines []machineStarts) error {
-	log := &startLog{key: key, saved: true}
-	c.loadedLogs = append(c.loadedLogs, log)
+	log := &pendingRecord{key: key, saved: true}
+	c.loadedStarts = append(c.loadedStarts, log)
 	for _, rec := range machines {
 		m := c.machines[rec.ID]
 		if m == nil {
@@ -129,7 +157,7 @@
 					return
 				}
 				former := j.claims[int32(i)]
-				a := &attempt{state: maybe, orderedAt: now, log: log}
+				a := &attempt{state: possiblyStarted, orderedAt: now, record: log}
 				log.live++
 				c.hold(m, j, int32(i), a)
 				if j.claims == nil {
@@ -151,19 +179,19 @@
 
 // Loaded ends the loading: tasks that no machine may hold can be placed.
 func (c *Controller) Loaded(now time.Time) {
-	for _, log := range c.loadedLogs {
+	for _, log := range c.loadedStarts {
 		if log.live == 0 {
-			c.bulk.del(log.key)
+			c.backgroundWrites.del(log.key)
 		}
 	}
-	c.loadedLogs = nil
+	c.loadedStarts = nil
 	for _, key := range slices.Sorted(maps.Keys(c.pieces)) {
 		// Of a job that was not accepted, or is over.
-		c.bulk.del(key)
+		c.backgroundWrites.del(key)
 	}
 	c.pieces = nil
 	jobs := c.sortedJobs()
-	c.linkAll(jobs)
+	c.linkAllDependencies(jobs)
 	for _, j := range jobs {
 		j.claims = nil
 		if len(j.Needs) > 0 {
@@ -171,20 +199,20 @@
 			j.since, j.startAt = now, now
 		}
 		if j.state == jobActive && j.done.Full() {
-			c.end(now, j, jobDone, &c.urgent)
+			c.end(now, j, jobDone, &c.interactiveWrites)
 		}
-		c.begin(now, j)
+		c.releaseIfUnblocked(now, j)
 		c.tidy(j)
 	}
-	for len(c.doomed) > 0 {
+	for len(c.toCancel) > 0 {
 		// All of them, before anyone is told anything.
-		c.follow(now)
+		c.processDependencyChanges(now)
 	}
 	c.changed = true
 	c.log.Info().Int("jobs", len(c.jobs)).Int("ended", len(c.finals)).Int("machines", len(c.machines)).Msg("loaded")
 }
 
-// Counts sums the picture up for logs.
+// Counts sums the state up for logs.
 type Counts struct {
 	Jobs, Ready, Held, Machines, Up, Spot, Writes int
 	// Chain are the steps still to be taken after the ends of jobs that others
@@ -200,7 +228,7 @@
 // Counts returns the sums.
 func (c *Controller) Counts() Counts {
 	n := Counts{Jobs: len(c.jobs), Machines: len(c.machines), Writes: c.queued(), Scores: c.scores}
-	n.Chain = len(c.freed) + len(c.doomed) + len(c.reweighed)
+	n.Chain = c.openSteps()
 	for _, j := range c.jobs {
 		n.Ready += len(j.ready)
 		n.WantedCPUs += float64(len(j.ready)) * j.CPUs
--- /dev/null
+++ b/internal/controller/machine.go
@@ -0,0 +1,270 @@
+package controller
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"sort"
+	"time"
+
+	"switchshore.example/switchshore/internal/sched"
+	"switchshore.example/switchshore/wire"
+)
+
+type machine struct {
+	id, machineType, zone, addr string
+	spot                        bool
+	total                       sched.Resources
+	rentedAt                    time.Time
+	up                          bool // has reported to some term
+	confirmed                   bool // has reported knowing this term: its list is complete
+	releasing                   bool
+	draining                    bool
+	faulty                      bool // several jobs failed there in a row
+
+	session, sequence uint64
+	lastReport        uint64 // the newest of the session that the worker sent by itself
+	// lostSession is the last session known to be over; what is still heard
+	// of it is old.
+	lostSession uint64
+	heardAt     time.Time // newest report taken in
+	answeredAt  time.Time // newest report answered 200
+	noticeEnds  time.Time // zero: no notice
+	fullUntil   time.Time
+	// Until reservedUntil, room is kept from work below reservedLevel.
+	reservedUntil time.Time
+	reservedLevel int
+
+	attempts   []*attempt // in the order in which they came to be known
+	exited     []exit
+	images     map[string]time.Time
+	avoid      map[string]bool
+	failedJobs map[string]bool
+	free       sched.Resources
+	idleFrom   time.Time
+	recorded   bool      // named by a start record that was loaded
+	missing    int       // lists in a row without the machine
+	listedAt   time.Time // first seen in the cloud's list in this term
+	failed     bool
+	// unforgettable names exited attempts whose start may still come late: forgetting
+	// them would let it run.
+	unforgettable map[exitKey]bool
+	// calling: a direct call is under way. callAfter pauses them after one
+	// that got no answer.
+	calling   bool
+	callAfter time.Time
+	// onTimeFrom is since when reports have come without a gap, sessionFrom
+	// since when in the present session. ignored counts the answers with
+	// starts in a row that had no effect, since unheededAt; deafAt is when the
+	// machine is known not to get our answers, zero while it does.
+	onTimeFrom     time.Time
+	sessionFrom    time.Time
+	ignoredAnswers int
+	ignoredAt      time.Time
+	answersLostAt  time.Time
+	// staleReports counts the reports older than the newest since that came,
+	// strangeFrom is when the first of them came.
+	staleReports int
+	staleSince   time.Time
+	firstHeard   time.Time // in this term
+	// replaced: a new worker has taken the place of the one known, and counts
+	// sessions anew. Only the release proves what it may hold gone.
+	replaced bool
+	// fenceBy is when the machine has to be released, as a start of an ended
+	// job may still come late; zero for never.
+	fenceBy time.Time
+	// snapshot is what the placement rule sees of the machine; stale, it is made
+	// anew.
+	snapshot     *sched.Machine
+	viewOutdated bool
+	// queued: the machine is in the list of those to be called directly.
+	queued bool
+}
+
+type exitKey struct {
+	task    string
+	attempt uint64
+}
+
+// exit is an exited attempt in a machine's list.
+type exit struct {
+	exitKey
+	forget bool // nobody needs the worker's memory of it any more
+}
+
+type attemptState int
+
+const (
+	// possiblyStarted: a predecessor recorded that the task may have been started here.
+	possiblyStarted attemptState = iota
+	// recordPending: the record is on its way to the state service.
+	recordPending
+	// startSent: the start goes out in every answer until a report shows it.
+	startSent
+	fetching
+	running
+	saving
+)
+
+// hasImage reports whether a task in this state counts as on its machine.
+func (s attemptState) hasImage() bool { return s == running || s == saving }
+
+type attempt struct {
+	machine    *machine
+	job        *job
+	index      int32
+	record     *pendingRecord // the record that names it
+	listNumber uint64         // the last task list that showed it
+
+	number        uint64
+	state         attemptState
+	afterLongWait bool // placed since its job had waited long
+	stop          bool // to be stopped
+	grace         float64
+	stopSent      bool
+	// sentSeq is the report in whose answer the start went out last, 0 if none.
+	sentSeq uint64
+	// direct: the start went out by /commands and no answer has come. It may
+	// then run at any later time within the session, so the attempt counts as
+	// there, is ordered again in answers to reports, and is never forgotten.
+	direct    bool
+	orderedAt time.Time
+	runningAt time.Time
+	saved     bool // it saved its progress when it was stopped
+}
+
+// wanted reports whether the attempt is still to run.
+func (a *attempt) wanted() bool { return !a.stop && a.job.wants(int(a.index)) }
+
+func (a *attempt) name() string { return wire.TaskName(a.job.ID, int(a.index)) }
+
+func (a *attempt) startCommand() wire.Command {
+	return wire.Command{Op: wire.OpStart, Task: a.name(), Attempt: a.number}
+}
+
+func (a *attempt) stopCommand() wire.Command {
+	grace := a.grace
+	return wire.Command{Op: wire.OpStop, Task: a.name(), Attempt: a.number, GraceS: &grace}
+}
+
+func (c *Controller) addMachine(now time.Time, id, typ, zone, addr string, spot bool) *machine {
+	m := &machine{
+		id: id, machineType: typ, zone: zone, addr: addr, spot: spot,
+		rentedAt: now, idleFrom: now, viewOutdated: true,
+		images:        map[string]time.Time{},
+		avoid:         map[string]bool{},
+		failedJobs:    map[string]bool{},
+		unforgettable: map[exitKey]bool{},
+	}
+	c.machines[id] = m
+	i := sort.Search(len(c.machinesByName), func(i int) bool { return c.machinesByName[i].id >= id })
+	c.machinesByName = slices.Insert(c.machinesByName, i, m)
+	c.setCapacity(m)
+	return m
+}
+
+// removeMachine forgets a machine that is gone with all on it.
+func (c *Controller) removeMachine(m *machine) {
+	delete(c.machines, m.id)
+	if i := slices.Index(c.machinesByName, m); i >= 0 {
+		c.machinesByName = slices.Delete(c.machinesByName, i, i+1)
+	}
+}
+
+// setCapacity fills in the amounts of the machine's type once it is known.
+func (c *Controller) setCapacity(m *machine) {
+	if t, ok := c.types[m.machineType]; ok && m.total == (sched.Resources{}) {
+		m.total = resources(t)
+		m.free = m.free.Add(m.total, 1)
+	}
+	m.viewOutdated = true
+}
+
+// SetTypes takes in the cloud's catalogue.
+func (c *Controller) SetTypes(types []wire.MachineType) {
+	if len(types) == 0 {
+		return
+	}
+	if value, err := json.Marshal(types); err == nil && len(value) <= c.valueLimit() && !bytes.Equal(value, c.catalogue) {
+		c.catalogue = value
+		c.backgroundWrites.put(keyTypes, value, nil)
+	}
+	c.offers = types
+	for _, t := range types {
+		c.types[t.Name] = t
+	}
+	for _, m := range c.machinesByName {
+		c.setCapacity(m)
+	}
+	c.changed = true
+}
+
+// find returns the attempt of a task on the machine, or nil.
+func (m *machine) find(j *job, index int32) *attempt {
+	for _, a := range m.attempts {
+		if a.index == index && a.job == j {
+			return a
+		}
+	}
+	return nil
+}
+
+// hold counts a task that may be on a machine.
+func (c *Controller) hold(m *machine, j *job, index int32, a *attempt) {
+	a.machine, a.job, a.index = m, j, index
+	m.attempts = append(m.attempts, a)
+	m.viewOutdated = true
+	m.free = m.free.Add(j.need, -1)
+	if t := c.teams[j.Team]; t != nil {
+		t.used = t.used.Add(j.need, 1)
+	}
+	j.inZone[m.zone]++
+	if j.holders[index]++; j.holders[index] == 1 {
+		j.held++
+	}
+}
+
+// drop counts a task that certainly is no longer on its machine.
+func (c *Controller) drop(now time.Time, a *attempt) {
+	m, j := a.machine, a.job
+	i := slices.Index(m.attempts, a)
+	if i < 0 {
+		return
+	}
+	j.recordProgress(now, a)
+	m.attempts = slices.Delete(m.attempts, i, i+1)
+	m.viewOutdated = true
+	m.free = m.free.Add(j.need, 1)
+	if t := c.teams[j.Team]; t != nil {
+		t.used = t.used.Add(j.need, -1)
+	}
+	if j.inZone[m.zone]--; j.inZone[m.zone] == 0 {
+		delete(j.inZone, m.zone)
+	}
+	if a.state.hasImage() {
+		j.running--
+	}
+	if len(m.attempts) == 0 {
+		m.idleFrom = now
+	}
+	c.unrecord(a)
+	c.releaseTask(j, a.index)
+}
+
+// dropAll drops every task of a machine whose session is over.
+func (c *Controller) dropAll(now time.Time, m *machine) {
+	for len(m.attempts) > 0 {
+		c.drop(now, m.attempts[len(m.attempts)-1])
+	}
+	m.exited = nil
+}
+
+// retiring reports whether a machine takes no more work because it is to go: it is
+// drained, faulty, or about to be taken by the cloud.
+func (m *machine) retiring() bool { return m.draining || m.faulty || !m.noticeEnds.IsZero() }
+
+// acceptsWork reports whether a machine takes new tasks.
+func (c *Controller) acceptsWork(now time.Time, m *machine) bool {
+	return m.up && m.confirmed && !m.replaced && !m.releasing && !m.retiring() &&
+		m.total.CPUs > 0 && !now.Before(m.fullUntil) && !m.losesAnswers() && !c.isSilent(now, m)
+}
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -15,9 +15,9 @@
 	lostS float64 // progress lost, and what its job loses by the wait
 }
 
-// lost is the progress in seconds that stopping an attempt which saves
+// unsavedProgress is the progress in seconds that stopping an attempt which saves
 // checkpoints throws away: all since the last one.
-func lost(now time.Time, a *attempt) float64 {
+func unsavedProgress(now time.Time, a *attempt) float64 {
 	return math.Mod(now.Sub(a.runningAt).Seconds(), a.job.CheckpointS)
 }
 
@@ -31,111 +31,164 @@
 // preempt makes room for tasks that found none: it stops tasks of a lower
 // priority that lose little by it.
 func (c *Controller) preempt(now time.Time, ready []*sched.Ready, byID map[string]*job) {
+	waiting := waitingByLevel(ready, byID)
+	lowest := c.lowestStoppable()
+	if len(waiting) == 0 || waiting[0].Level >= lowest {
+		return
+	}
+	p := c.newPreemption(now)
+	for _, r := range waiting {
+		if r.Level >= lowest {
+			break
+		}
+		p.makeRoom(r, byID[r.Job])
+	}
+	if p.stops > 0 {
+		c.log.Debug().Int("tasks", p.stops).Msg("preempted")
+	}
+}
+
+// waitingByLevel are the jobs with tasks that found no room, highest priority first.
+func waitingByLevel(ready []*sched.Ready, byID map[string]*job) []*sched.Ready {
 	var waiting []*sched.Ready
-	lowest := 0
 	for _, r := range ready {
-		j := byID[r.Job]
-		if len(j.ready) > 0 && j.failures == 0 {
+		if j := byID[r.Job]; len(j.ready) > 0 && j.failures == 0 {
 			waiting = append(waiting, r)
 		}
 	}
-	if len(waiting) == 0 {
-		return
-	}
 	sort.SliceStable(waiting, func(i, k int) bool { return waiting[i].Level < waiting[k].Level })
+	return waiting
+}
+
+// lowestStoppable is the lowest priority of the running jobs that save checkpoints.
+func (c *Controller) lowestStoppable() int {
+	lowest := 0
 	for j := range c.live {
 		if j.running > 0 && j.CheckpointS > 0 {
 			lowest = max(lowest, j.level)
 		}
 	}
-	if waiting[0].Level >= lowest {
-		return
+	return lowest
+}
+
+// preemption is one look for room that stopping tasks could make.
+type preemption struct {
+	*Controller
+	now time.Time
+	// coming is the room of each machine once stopping and soon-ending tasks have left.
+	coming map[*machine]sched.Resources
+	// leaving are the CPUs of these tasks, by team.
+	leaving map[string]float64
+	// candidates are the tasks that may be stopped, those that lose least first.
+	candidates map[*machine][]victim
+	stops      int
+	looks      int
+}
+
+func (c *Controller) newPreemption(now time.Time) *preemption {
+	p := &preemption{
+		Controller: c, now: now,
+		coming: map[*machine]sched.Resources{}, leaving: map[string]float64{}, candidates: map[*machine][]victim{},
 	}
-	// Room that is coming: what stopping tasks leave, and soon-ending ones.
-	coming := map[*machine]sched.Resources{}
-	leaving := map[string]float64{} // CPUs of stopping tasks, by team
-	candidates := map[*machine][]victim{}
-	machines := c.order
-	for _, m := range machines {
-		if !c.open(now, m) {
-			continue
+	for _, m := range c.machinesByName {
+		if c.acceptsWork(now, m) {
+			p.addMachine(m)
 		}
-		coming[m] = m.free
-		for _, a := range m.attempts {
-			switch {
-			case a.stop, a.state == saving, c.endsSoon(now, a):
-				coming[m] = coming[m].Add(a.job.need, 1)
-				leaving[a.job.Team] += a.job.CPUs
-			case a.aged && now.Sub(a.orderedAt) < tuning.AgedRun:
-				// Stopped at once, pass after pass, its job would never have begun.
-			case a.state == running && a.job.CheckpointS > 0:
-				if l := lost(now, a); l <= tuning.PreemptLoss.Seconds() {
-					if len(a.job.ready) == 0 {
-						// Others of its job don't wait: the job would end later.
-						l += tuning.PreemptDelay.Seconds()
-					}
-					candidates[m] = append(candidates[m], victim{a, l})
-				}
-			}
+	}
+	return p
+}
+
+func (p *preemption) addMachine(m *machine) {
+	p.coming[m] = m.free
+	for _, a := range m.attempts {
+		switch {
+		case a.stop, a.state == saving, p.endsSoon(p.now, a):
+			p.leave(a, 1)
+		case a.afterLongWait && p.now.Sub(a.orderedAt) < tuning.AgedRun:
+			// Stopped at once, pass after pass, its job would never have begun.
+		case a.state == running && a.job.CheckpointS > 0:
+			p.addCandidate(a)
 		}
-		sort.SliceStable(candidates[m], func(i, k int) bool { return candidates[m][i].lostS < candidates[m][k].lostS })
-	}
-	stops, looks := 0, 0
-	stop := func(v victim) {
-		v.stop, v.grace = true, 0
-		coming[v.machine] = coming[v.machine].Add(v.job.need, 1)
-		leaving[v.job.Team] += v.job.CPUs
-		stops++
-		c.callSoon(v.machine)
-	}
-	spare := func(v victim) {
-		v.stop = false
-		coming[v.machine] = coming[v.machine].Add(v.job.need, -1)
-		leaving[v.job.Team] -= v.job.CPUs
-		stops--
 	}
-	for _, r := range waiting {
-		j := byID[r.Job]
-		t := c.teams[j.Team]
-		if t == nil || r.Level >= lowest {
-			continue
+	list := p.candidates[m]
+	sort.SliceStable(list, func(i, k int) bool { return list[i].lostS < list[k].lostS })
+}
+
+func (p *preemption) addCandidate(a *attempt) {
+	loss := unsavedProgress(p.now, a)
+	if loss > tuning.PreemptLoss.Seconds() {
+		return
+	}
+	if len(a.job.ready) == 0 {
+		// Others of its job don't wait: the job would end later.
+		loss += tuning.PreemptDelay.Seconds()
+	}
+	p.candidates[a.machine] = append(p.candidates[a.machine], victim{a, loss})
+}
+
+// leave counts an attempt as about to leave its machine, or, with -1, no more.
+func (p *preemption) leave(a *attempt, sign float64) {
+	p.coming[a.machine] = p.coming[a.machine].Add(a.job.need, sign)
+	p.leaving[a.job.Team] += a.job.CPUs * sign
+}
+
+func (p *preemption) stop(v victim) {
+	v.stop, v.grace = true, 0
+	p.leave(v.attempt, 1)
+	p.stops++
+	p.scheduleCall(v.machine)
+}
+
+func (p *preemption) undoStop(v victim) {
+	v.stop = false
+	p.leave(v.attempt, -1)
+	p.stops--
+}
+
+// makeRoom stops tasks for as many waiting tasks of the job as it finds room for.
+func (p *preemption) makeRoom(r *sched.Ready, j *job) {
+	t := p.teams[j.Team]
+	if t == nil {
+		return
+	}
+	for range j.ready {
+		p.looks++
+		if p.stops >= tuning.PreemptStops || p.looks > tuning.PreemptLooks || !p.makeRoomForOne(r, j, t) {
+			return
 		}
-		for range j.ready {
-			if looks++; stops >= tuning.PreemptStops || looks > tuning.PreemptLooks {
-				break
-			}
-			var own victim
-			limited := t.CPUsMax-t.used.CPUs+leaving[j.Team] < j.CPUs
-			if limited {
-				// The team is at its limit: only its own tasks can make way.
-				var ok bool
-				if own, ok = ownVictim(r, machines, candidates); !ok {
-					break
-				}
-				stop(own)
-			}
-			best, victims := c.cheapestRoom(r, machines, coming, candidates)
-			if best == nil {
-				// No machine would have it even then: stopping for nothing, pass
-				// after pass, would keep the team's other work from ever ending.
-				if limited {
-					spare(own)
-				}
-				break
-			}
-			for _, v := range victims {
-				stop(v)
-			}
-			if len(victims) > 0 {
-				best.reserve(now, r.Level)
-			}
-			coming[best] = coming[best].Add(j.need, -1)
-			leaving[j.Team] -= j.CPUs
+	}
+}
+
+// makeRoomForOne is false if there is no room to be made for a task of the job.
+func (p *preemption) makeRoomForOne(r *sched.Ready, j *job, t *team) bool {
+	var own victim
+	limited := t.CPUsMax-t.used.CPUs+p.leaving[j.Team] < j.CPUs
+	if limited {
+		// The team is at its limit: only its own tasks can make way.
+		var ok bool
+		if own, ok = ownVictim(r, p.machinesByName, p.candidates); !ok {
+			return false
 		}
+		p.stop(own)
+	}
+	best, victims := p.cheapestRoom(r, p.machinesByName, p.coming, p.candidates)
+	if best == nil {
+		// No machine would have it even then: stopping for nothing, pass
+		// after pass, would keep the team's other work from ever ending.
+		if limited {
+			p.undoStop(own)
+		}
+		return false
+	}
+	for _, v := range victims {
+		p.stop(v)
 	}
-	if stops > 0 {
-		c.log.Debug().Int("tasks", stops).Msg("preempted")
+	if len(victims) > 0 {
+		best.reserve(p.now, r.Level)
 	}
+	p.coming[best] = p.coming[best].Add(j.need, -1)
+	p.leaving[j.Team] -= j.CPUs
+	return true
 }
 
 // reserve keeps the room that comes free on a machine, for a moment, from work of a lower
@@ -168,7 +221,7 @@
 	if _, cached := m.images[r.Image]; cached {
 		return 0
 	}
-	return sched.FetchTime(r.ImageGB, c.types[m.typ].FetchGBPerS)
+	return sched.FetchTime(r.ImageGB, c.types[m.machineType].FetchGBPerS)
 }
 
 // cheapestRoom finds the machine that can make room for one task at the least
@@ -179,7 +232,7 @@
 	least := math.Inf(1)
 	for _, m := range machines {
 		room, ok := coming[m]
-		if !ok || m.avoid[r.Job] || !r.Allowed(m.place()) {
+		if !ok || m.avoid[r.Job] || !r.Allowed(m.placement()) {
 			continue
 		}
 		if room.Fits(r.Need) {
--- a/internal/controller/reach_test.go
+++ b/internal/controller/reachability_test.go
@@ -97,7 +97,7 @@
 	return released, slices.Compact(rented)
 }
 
-func wide(t *testing.T) {
+func addWideTeam(t *testing.T) {
 	old := params
 	t.Cleanup(func() { params = old })
 	params.Teams = append(slices.Clone(params.Teams), old.Teams[0])
@@ -112,16 +112,16 @@
 	return j
 }
 
-// pressingJob would be late if it waited for a lease of 15 s.
-func pressingJob() *wire.Job { return dueIn(50) }
+// urgentJob would be late if it waited for a lease of 15 s.
+func urgentJob() *wire.Job { return dueIn(50) }
 
-// TestPressingWorkLeavesACutZone: when a zone falls silent, its machines are
+// TestUrgentWorkLeavesAPartitionedZone: when a zone falls silent, its machines are
 // released where the work on them would be late by the end of their leases, so
 // that it can start again; nothing is rented in that zone. Patient work waits.
-func TestPressingWorkLeavesACutZone(t *testing.T) {
-	wide(t)
+func TestUrgentWorkLeavesAPartitionedZone(t *testing.T) {
+	addWideTeam(t)
 	z := newZoned(t, 5, start, map[string]json.RawMessage{})
-	on := z.run(pressingJob())
+	on := z.run(urgentJob())
 	released, rented := z.after(10*time.Second, on, "a")
 	if len(released) != 10 || released[0] != "b0" || released[9] != "b9" {
 		t.Errorf("released: %v", released)
@@ -136,7 +136,7 @@
 
 	// Machines that boot in that zone are no room for the work either.
 	booting := newZoned(t, 5, start, map[string]json.RawMessage{})
-	on = booting.run(pressingJob())
+	on = booting.run(urgentJob())
 	var rows []wire.ListedMachine
 	for i := range 40 {
 		rows = append(rows, wire.ListedMachine{Name: fmt.Sprint("b9", i), Addr: "x:1", Type: "std-8", Zone: "b", State: wire.MachineBooting})
@@ -152,22 +152,22 @@
 	}
 }
 
-// TestSilenceOfAllIsOurs: a node that hears no machine is cut off itself, and
+// TestSilenceOfAllMachinesReleasesNone: a node that hears no machine is cut off itself, and
 // gives none of them up before the leases end.
-func TestSilenceOfAllIsOurs(t *testing.T) {
-	wide(t)
+func TestSilenceOfAllMachinesReleasesNone(t *testing.T) {
+	addWideTeam(t)
 	z := newZoned(t, 5, start, map[string]json.RawMessage{})
-	if released, _ := z.after(10*time.Second, z.run(pressingJob())); len(released) != 0 {
+	if released, _ := z.after(10*time.Second, z.run(urgentJob())); len(released) != 0 {
 		t.Errorf("released: %v", released)
 	}
 }
 
-// TestSilenceEverywhereIsOurs: neither does one that has lost half of them, all
+// TestSilenceInAllZonesReleasesNone: neither does one that has lost half of them, all
 // over the place.
-func TestSilenceEverywhereIsOurs(t *testing.T) {
-	wide(t)
+func TestSilenceInAllZonesReleasesNone(t *testing.T) {
+	addWideTeam(t)
 	z := newZoned(t, 5, start, map[string]json.RawMessage{})
-	on := z.run(pressingJob())
+	on := z.run(urgentJob())
 	for i := range 5 {
 		z.gone[fmt.Sprint("a", 2*i)], z.gone[fmt.Sprint("b", 2*i)] = true, true
 	}
@@ -176,12 +176,12 @@
 	}
 }
 
-// TestSuccessorLeavesACutZone: the same for machines that a new leader has never
+// TestSuccessorLeavesAPartitionedZone: the same for machines that a new leader has never
 // heard, on which its predecessor may go on answering.
-func TestSuccessorLeavesACutZone(t *testing.T) {
-	wide(t)
+func TestSuccessorLeavesAPartitionedZone(t *testing.T) {
+	addWideTeam(t)
 	z := newZoned(t, 5, start, map[string]json.RawMessage{})
-	on := z.run(pressingJob())
+	on := z.run(urgentJob())
 	next := newZoned(t, 6, z.now, z.kept)
 	next.hear(on, "a")
 	if released, _ := next.after(7*time.Second, on, "a"); len(released) != 0 {
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -13,7 +13,7 @@
 )
 
 // ErrDamaged is a stored record that can't be right, and without which the
-// picture would be wrong.
+// state would be wrong.
 var ErrDamaged = errors.New("damaged record")
 
 const keyTypes = "c/types"
@@ -41,14 +41,14 @@
 // valueLimit is the largest value of the state service, in bytes.
 func (c *Controller) valueLimit() int { return int(c.params.State.ValueKB * 1024) }
 
-// store queues the writes of a job and calls then when all are durable. Pieces
+// storeJob queues the writes of a job and calls then when all are durable. Pieces
 // go before the record that names them: after a crash between them there is no
 // job, and a successor drops them.
-func (c *Controller) store(j *job, then func()) {
+func (c *Controller) storeJob(j *job, then func()) {
 	rec := jobRecord{Job: j.Job, At: j.at}
 	value, _ := json.Marshal(rec)
 	if len(j.Needs) > 0 || len(value) > c.valueLimit() {
-		rec.Job, rec.Whole = standIn(j.Job), &j.Job
+		rec.Job, rec.Whole = placeholder(j.Job), &j.Job
 		value, _ = json.Marshal(rec)
 	}
 	if len(value) > c.valueLimit() {
@@ -61,20 +61,20 @@
 			key := keyPiece(j.ID, c.term, rec.Pieces)
 			text, _ := json.Marshal(piece)
 			j.keys[key] = true
-			c.urgent.put(key, text, nil)
+			c.interactiveWrites.put(key, text, nil)
 		}
 		value, _ = json.Marshal(rec)
 	}
-	c.urgent.put(keyJob(j.ID), value, then)
+	c.interactiveWrites.put(keyJob(j.ID), value, then)
 }
 
 // unknownType is a machine type that no cloud offers.
 const unknownType = "(known to later versions)"
 
-// standIn is what versions before the chained jobs read of a job that they would
+// placeholder is what versions before the dependent jobs read of a job that they would
 // get wrong: it is queued and can be cancelled, but fits no machine, so that they
 // never start it. Needed while such a version may run.
-func standIn(j wire.Job) wire.Job {
+func placeholder(j wire.Job) wire.Job {
 	j.Class, j.Image, j.Zone = "-", "-", ""
 	j.Types = []string{unknownType}
 	j.Needs = nil
--- /dev/null
+++ b/internal/controller/records_test.go
@@ -0,0 +1,212 @@
+package controller_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/controller"
+	"switchshore.example/switchshore/wire"
+)
+
+// TestLongDependenciesFitSmallValues: a valid job is not refused for the length of what
+// it needs or allows. Whenever a leader dies between the writes, there is the
+// whole job or none, and pieces that nothing names any more are cleaned up.
+func TestLongDependenciesFitSmallValues(t *testing.T) {
+	useTightLimits(t)
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	long := dependentJob("job-999999999")
+	for i := range 400 {
+		id := fmt.Sprintf("job-%d", 1000+i)
+		l.accept(spec(id))
+		long.Needs = append(long.Needs, id)
+	}
+	long.Types = []string{"std-8"}
+	for i := range 100 {
+		long.Types = append(long.Types, fmt.Sprintf("machine-type-%d", i))
+	}
+	v := l.ask(long)
+	for step := 0; v.Status == 0; step++ {
+		kept := maps.Clone(l.kept)
+		next := newLeader(t, 6, l.now, kept)
+		if next.Query(long.ID).Status != 404 {
+			t.Fatal("known before the last write")
+		}
+		// The same job again, over what the other has left.
+		again := next.ask(long)
+		next.commit()
+		if again.Status != 201 || next.state(long.ID) != wire.JobQueued {
+			t.Fatalf("%+v", *again)
+		}
+		other := newLeader(t, 7, l.now, kept)
+		if other.state(long.ID) != wire.JobQueued {
+			t.Fatal("lost by a successor")
+		}
+		other.commit()
+		for key := range kept {
+			if strings.HasPrefix(key, "n/"+long.ID+"/5-") {
+				t.Fatalf("%s is left", key)
+			}
+		}
+		l.some(1, 1)
+	}
+	if v.Status != 201 {
+		t.Fatalf("%+v", *v)
+	}
+	pieces := 0
+	for key, value := range l.kept {
+		if len(value) > 2048 {
+			t.Errorf("%s has %d bytes", key, len(value))
+		}
+		if strings.HasPrefix(key, "n/") {
+			pieces++
+		}
+	}
+	if pieces < 3 {
+		t.Errorf("%d pieces", pieces)
+	}
+	next := newLeader(t, 8, l.now, l.kept)
+	next.Cancel(next.now, long.Needs[17], func(controller.Verdict) {})
+	next.commit()
+	next.pass(time.Second)
+	next.commit()
+	if got := next.state(long.ID); got != wire.JobCancelled {
+		t.Errorf("a need was lost: called %s", got)
+	}
+	for key := range next.kept {
+		if strings.HasPrefix(key, "n/") {
+			t.Errorf("%s is left", key)
+		}
+	}
+}
+
+// TestDamagedRecords: what can be done without is left out by its key; what
+// can't be keeps the service from starting. Jobs that need themselves, which no
+// submission can bring about, wait and can be cancelled; nothing loops.
+func TestDamagedRecords(t *testing.T) {
+	useTightLimits(t)
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	l.accept(spec("job-1"), dependentJob("job-2", "job-1"), dependentJob("job-3", "job-2"))
+	load := func(kept map[string]json.RawMessage) (*controller.Controller, string, error) {
+		var logs bytes.Buffer
+		c := controller.New(zerolog.New(&logs), params, config.Operator{}, 6, l.now, 0)
+		for _, prefix := range controller.Prefixes {
+			for _, key := range slices.Sorted(maps.Keys(kept)) {
+				if !strings.HasPrefix(key, prefix) {
+					continue
+				}
+				if err := c.Load(l.now, l.now, wire.Item{Key: key, Value: kept[key]}); err != nil {
+					return nil, logs.String(), err
+				}
+			}
+		}
+		c.Loaded(l.now)
+		return c, logs.String(), nil
+	}
+	long := spec("job-5")
+	for i := range 200 {
+		long.Types = append(long.Types, fmt.Sprint("type-", i))
+	}
+	long.Types[0] = "std-8"
+	l.accept(long)
+	for key, named := range map[string]string{"d/job-1/0": "", "c/types": "", "n/job-1/5-0": "", "n/job-5/5-1": "j/job-5", "j/job-1": "j/job-1", "f/job-1": "f/job-1", "s/1-1": "s/1-1"} {
+		kept := maps.Clone(l.kept)
+		kept[key] = json.RawMessage(`7`)
+		_, logs, err := load(kept)
+		if (err != nil) != (named != "") || err != nil && !strings.Contains(err.Error(), named) || err == nil && !strings.Contains(logs, key) {
+			t.Errorf("%s: %v, logs %s", key, err, logs)
+		}
+	}
+	kept := maps.Clone(l.kept)
+	kept["j/job-2"] = bytes.ReplaceAll(kept["j/job-2"], []byte(`"awaits":["job-1"]`), []byte(`"awaits":["job-3"]`))
+	c, logs, err := load(kept)
+	if err != nil || !strings.Contains(logs, "j/job-2") || !strings.Contains(logs, "j/job-3") {
+		t.Fatalf("%v, logs %s", err, logs)
+	}
+	urgent := dependentJob("job-4", "job-3")
+	deadline := 100.0
+	urgent.DeadlineS = &deadline
+	c.Submit(l.now, l.now, urgent, func(controller.Verdict) {})
+	for range 5 {
+		c.Tick(l.now, true)
+	}
+	if n := c.Counts().Chain; n != 0 {
+		t.Errorf("%d steps left for jobs that need themselves", n)
+	}
+	if v := c.Query("job-3"); v.State != wire.JobQueued {
+		t.Errorf("%+v", v)
+	}
+	c.Cancel(l.now, "job-3", func(controller.Verdict) {})
+	for b := c.NextBatch(10, 10); b != nil; b = c.NextBatch(10, 10) {
+		c.Committed(b, nil)
+		c.Tick(l.now, true)
+	}
+	if v := c.Query("job-2"); v.State != wire.JobCancelled {
+		t.Errorf("%+v", v)
+	}
+}
+
+// TestRefusedRecord: a start record that the state service refuses although it
+// should take it holds nothing up: its tasks are placed anew, and all other
+// changes are made.
+func TestRefusedRecord(t *testing.T) {
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	l.accept(spec("job-1"))
+	l.report("m1", 1)
+	l.pass(time.Second)
+	b := l.NextBatch(10, 10)
+	if b == nil || !strings.HasPrefix(b.Writes[0].Put, "s/") {
+		t.Fatal("no start record")
+	}
+	l.Committed(b, []string{b.Writes[0].Put})
+	if cs := l.report("m1", 1); len(cs) != 0 {
+		t.Fatalf("started without a record: %s", ops(cs))
+	}
+	l.pass(time.Second)
+	l.commit()
+	if got := ops(l.report("m1", 1)); got != "run job-1/0" {
+		t.Fatal(got)
+	}
+}
+
+// TestOversizedChangeIsNotSent: a change above the state service's limit is found
+// before it is sent, named in the logs, and holds up no other.
+func TestOversizedChangeIsNotSent(t *testing.T) {
+	old := params
+	defer func() { params = old }()
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	l.accept(spec("job-1"), spec("job-2"))
+	params.State.ValueKB = 0.05 // less than any start record takes
+	var logs bytes.Buffer
+	c := controller.New(zerolog.New(&logs), params, config.Operator{}, 6, l.now, 0)
+	for _, id := range []string{"job-1", "job-2"} {
+		if err := c.Load(l.now, l.now, wire.Item{Key: "j/" + id, Value: l.kept["j/"+id]}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.Loaded(l.now)
+	c.SetTypes([]wire.MachineType{bigType})
+	next := &leader{Controller: c, t: t, now: l.now, kept: l.kept}
+	next.report("m1", 1)
+	next.pass(time.Second)
+	c.Cancel(next.now, "job-2", func(controller.Verdict) {})
+	b := c.NextBatch(10, 10)
+	if b == nil || len(b.Writes) != 1 || b.Writes[0].Put != "f/job-2" {
+		t.Fatalf("%+v", b)
+	}
+	c.Committed(b, nil)
+	if !strings.Contains(logs.String(), `"key":"s/`) {
+		t.Errorf("not named: %s", logs.String())
+	}
+	if n := c.Counts(); n.Held != 0 || n.Ready != 1 {
+		t.Errorf("the task of the record left out is lost: %+v", n)
+	}
+}
--- /dev/null
+++ b/internal/controller/recovery_test.go
@@ -0,0 +1,206 @@
+package controller_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/controller"
+	"switchshore.example/switchshore/wire"
+)
+
+// TestSuccessorWaitsForRecordedMachine: a new leader places a task only when
+// the machine that may hold it has spoken in its term or its lease is over.
+func TestSuccessorWaitsForRecordedMachine(t *testing.T) {
+	l, tr := running(t)
+	next := newLeader(t, 6, l.now, l.kept)
+	next.report("m2", 1)
+	next.pass(time.Second)
+	next.commit()
+	if cs := next.report("m2", 1); len(cs) != 0 {
+		t.Fatalf("placed a task that m1 may hold: %s", ops(cs))
+	}
+	// A report that knows an earlier term only proves nothing yet.
+	a, receipt := next.Report(next.now, &wire.Report{Machine: "m1", Type: "std-8", Zone: "a", Session: 1, Seq: 50, Token: 5}, true)
+	if receipt != controller.ReportApplied || a.Token != 6 || len(a.Commands) != 0 {
+		t.Fatalf("%+v", a)
+	}
+	next.pass(time.Second)
+	next.commit()
+	if cs := next.report("m2", 1); len(cs) != 0 {
+		t.Fatalf("placed on the word of an old report: %s", ops(cs))
+	}
+	next.seq = 60
+	next.report("m1", 1, tr)
+	if v := next.Query("job-1"); v.State != wire.JobRunning {
+		t.Fatalf("%+v", v)
+	}
+	// Without a word from m1 the task is free once its lease is over,
+	// counted from the last answer that a predecessor may have given.
+	other := newLeader(t, 7, l.now, l.kept)
+	wait := controller.Grace(params.Workers) + 15*time.Second
+	for other.now.Before(l.now.Add(wait)) {
+		other.report("m2", 1)
+		other.pass(time.Second)
+		other.commit()
+		if cs := other.report("m2", 1); len(cs) != 0 {
+			t.Fatalf("placed %v after the succession", other.now.Sub(l.now))
+		}
+	}
+	other.pass(3 * time.Second)
+	other.report("m2", 1)
+	other.pass(time.Second)
+	other.commit()
+	if cs := other.report("m2", 1); ops(cs) != "run job-1/0" {
+		t.Fatalf("after the lease: %q", ops(cs))
+	}
+}
+
+// TestSeenTaskIsRecordedAnew: an older attempt of a task has exited on the
+// machine on which a newer one runs. The record of the start is gone with the
+// first; a successor must know of the second all the same.
+func TestSeenTaskIsRecordedAnew(t *testing.T) {
+	l, tr := running(t)
+	next := newLeader(t, 6, l.now, l.kept)
+	next.seq = 100
+	older := wire.TaskReport{Task: tr.Task, Attempt: 1, State: wire.TaskExited, Why: wire.WhyStopped}
+	next.report("m1", 1, older, tr)
+	next.commit()
+	last := newLeader(t, 7, next.now, next.kept)
+	last.report("m2", 1)
+	last.pass(time.Second)
+	last.commit()
+	if cs := last.report("m2", 1); len(cs) != 0 {
+		t.Fatalf("started a second time: %s", ops(cs))
+	}
+}
+
+// TestAbsentFromTheListIsGone: a machine that was listed and is missing from a
+// list that describes a later time has gone with its tasks; a list that may be
+// older than the one before it proves nothing.
+func TestAbsentFromTheListIsGone(t *testing.T) {
+	l, _ := running(t)
+	l.Listed(l.now, l.now, []wire.ListedMachine{{Name: "m1", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+	try := func(d time.Duration) string {
+		l.now = l.now.Add(d)
+		l.report("m2", 1)
+		l.Listed(l.now, l.now, []wire.ListedMachine{{Name: "m2", Type: "std-8", Zone: "a", State: wire.MachineRunning}})
+		l.pass(time.Second)
+		l.commit()
+		return ops(l.report("m2", 1))
+	}
+	// The list may be older than the first by twice the lag of 4 s.
+	if got := try(7 * time.Second); got != "" {
+		t.Fatalf("an old list was taken for proof: %s", got)
+	}
+	if got := try(time.Second); got != "run job-1/0" {
+		t.Fatalf("want a start elsewhere, got %q", got)
+	}
+}
+
+// TestSuccessorKnowsTheCatalogue: it decides submissions without waiting for
+// the cloud to answer.
+func TestSuccessorKnowsTheCatalogue(t *testing.T) {
+	l, _ := running(t)
+	l.commit()
+	next := controller.New(zerolog.Nop(), params, config.Operator{}, 6, l.now, 0)
+	for key, value := range l.kept {
+		if strings.HasPrefix(key, controller.Prefixes[0]) {
+			if err := next.Load(l.now, l.now, wire.Item{Key: key, Value: value}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if !next.Ready() {
+		t.Fatal("no machine types known")
+	}
+}
+
+// TestLastRecordHolds: of two records that name a task the later one holds, as
+// it was started again only when it was nowhere else. A successor doesn't wait
+// for the machine of the earlier one.
+func TestLastRecordHolds(t *testing.T) {
+	l, _ := running(t)
+	for key, value := range maps.Clone(l.kept) {
+		if strings.HasPrefix(key, "s/") {
+			l.kept[key+"-later"] = json.RawMessage(strings.Replace(string(value), `"m1"`, `"m2"`, 1))
+		}
+	}
+	next := newLeader(t, 6, l.now, l.kept)
+	next.report("m2", 1) // knows this term, and hasn't got the task
+	next.pass(time.Second)
+	next.commit()
+	if cs := next.report("m2", 1); ops(cs) != "run job-1/0" {
+		t.Fatalf("want a start, got %q", ops(cs))
+	}
+}
+
+// TestRecordsGoOnlyAfterTheirSuccessors: however full a batch is, no start
+// record is deleted while another that has taken over from it waits.
+func TestRecordsGoOnlyAfterTheirSuccessors(t *testing.T) {
+	for pad := range 60 {
+		l, tr := running(t)
+		next := newLeader(t, 6, l.now, l.kept)
+		next.seq = 100
+		older := wire.TaskReport{Task: tr.Task, Attempt: 1, State: wire.TaskExited, Why: wire.WhyStopped}
+		next.report("m1", 1, older, tr)
+		// What users wait for goes first and nearly fills the transaction.
+		for i := range 100 {
+			j := spec(fmt.Sprintf("job-%06d", i))
+			j.Class = strings.Repeat("x", 120+pad)
+			next.Submit(next.now, next.now, j, func(controller.Verdict) {})
+		}
+		taken := false
+		for b := next.NextBatch(500, 500); b != nil; b = next.NextBatch(500, 500) {
+			for _, w := range b.Writes {
+				if strings.HasPrefix(w.Put, "s/") {
+					taken = true
+				}
+				if strings.HasPrefix(w.Delete, "s/") && !taken {
+					t.Fatalf("pad %d: %s deleted before what took over from it", pad, w.Delete)
+				}
+			}
+			next.Committed(b, nil)
+		}
+		if !taken {
+			t.Fatal("the task seen was not recorded")
+		}
+	}
+}
+
+// TestStartRecordsFitTheValueLimit: the starts of one pass on many machines are
+// split into records that the state service takes.
+func TestStartRecordsFitTheValueLimit(t *testing.T) {
+	old := params
+	defer func() { params = old }()
+	params.State.ValueKB = 1
+	params.Teams = []config.Team{{Name: "blue", CPUs: 8, CPUsMax: 1600}}
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	wide := spec("job-1")
+	wide.Tasks, wide.CPUs = 40, 8
+	l.Submit(l.now, l.now, wide, func(controller.Verdict) {})
+	l.commit()
+	for i := range wide.Tasks {
+		l.report(fmt.Sprintf("i-%06d", i), 1)
+	}
+	l.pass(time.Second)
+	l.commit()
+	records := 0
+	for key, value := range l.kept {
+		if strings.HasPrefix(key, "s/") {
+			records++
+		}
+		if len(value) > 1024 {
+			t.Errorf("%s has %d bytes", key, len(value))
+		}
+	}
+	if held := newLeader(t, 6, l.now, l.kept).Counts().Held; held != wide.Tasks || records < 2 {
+		t.Errorf("%d records name %d of %d tasks", records, held, wide.Tasks)
+	}
+}
--- a/internal/controller/grown_test.go
+++ b/internal/controller/scale_test.go
@@ -14,7 +14,7 @@
 	"switchshore.example/switchshore/wire"
 )
 
-// fleet plays several hundred machines without troubles against one leader, in
+// fleet plays several hundred machines without faults against one leader, in
 // steps of a tenth of a second, within the write budget of the settings.
 type fleet struct {
 	*leader
@@ -140,7 +140,7 @@
 		}
 		w.change, w.sent, w.next = false, f.now, f.now.Add(3*time.Second)
 		a, receipt := f.Report(f.now, f.report(w), true)
-		if receipt != controller.Taken {
+		if receipt != controller.ReportApplied {
 			f.t.Fatalf("%s: receipt %d", w.name, receipt)
 		}
 		f.execute(w, a.Commands)
@@ -204,10 +204,10 @@
 	}
 }
 
-// TestGrownFleet: 600 machines, some 70 starts a second. The state service is
+// TestLargeFleet: 600 machines, some 70 starts a second. The state service is
 // asked for little per start, no value or transaction is too large, a pass is
 // bounded, urgent work starts at once, and a successor knows of every task.
-func TestGrownFleet(t *testing.T) {
+func TestLargeFleet(t *testing.T) {
 	old := params
 	defer func() { params = old }()
 	params.Teams = []config.Team{{Name: "blue", CPUs: 4000, CPUsMax: 4800}}
@@ -272,12 +272,12 @@
 	f.Listed(f.now, f.now, rows)
 }
 
-// TestFarLargerFleet: 2,200 machines under a lasting backlog of long tasks that
+// TestFleetBeyondPlannedSize: 2,200 machines under a lasting backlog of long tasks that
 // save and of urgent ones, some hundred starts a second. A tenth of the machines
 // die with all on them, and the leader soon after. What it costs stays bounded
 // and the machines stay in use: a pass that scored every machine for every job
 // that had waited long once left 39,000 of 46,000 CPUs idle.
-func TestFarLargerFleet(t *testing.T) {
+func TestFleetBeyondPlannedSize(t *testing.T) {
 	oldParams, oldType := params, bigType
 	defer func() { params, bigType = oldParams, oldType }()
 	bigType.CPUs, bigType.MemoryGB = 32, 128
--- a/internal/controller/starts.go
+++ b/internal/controller/starts.go
@@ -30,8 +30,8 @@
 	Tasks map[string]string `json:"tasks"`
 }
 
-// startLog is a start record and the attempts that it still stands for.
-type startLog struct {
+// pendingRecord is a start record and the attempts that it still stands for.
+type pendingRecord struct {
 	key      string
 	live     int
 	size     int // bytes, at most
@@ -42,13 +42,13 @@
 
 func keyStarts(term, number uint64) string { return fmt.Sprintf("s/%08x-%08x", term, number) }
 
-// logStart puts an attempt into the record that is written next.
-func (c *Controller) logStart(a *attempt) {
+// recordStart puts an attempt into the record that is written next.
+func (c *Controller) recordStart(a *attempt) {
 	// What the attempt can add at most: a machine with its frame, a job, an index.
 	size := 8
-	var log *startLog
-	if n := len(c.unsaved); n > 0 {
-		log = c.unsaved[n-1]
+	var log *pendingRecord
+	if n := len(c.unsavedStarts); n > 0 {
+		log = c.unsavedStarts[n-1]
 	}
 	cost := func() int {
 		sum := size
@@ -57,7 +57,7 @@
 			jobs = log.machines[a.machine]
 		}
 		if jobs == nil {
-			sum += len(a.machine.id) + len(a.machine.typ) + len(a.machine.zone) + 72
+			sum += len(a.machine.id) + len(a.machine.machineType) + len(a.machine.zone) + 72
 		}
 		if !jobs[a.job] {
 			sum += len(a.job.ID) + 8
@@ -65,9 +65,9 @@
 		return sum
 	}
 	if log == nil || float64(log.size+cost()) > float64(c.valueLimit())*tuning.ValueShare {
-		c.logs++
-		log = &startLog{key: keyStarts(c.term, c.logs), size: 32, machines: map[*machine]map[*job]bool{}}
-		c.unsaved = append(c.unsaved, log)
+		c.startRecords++
+		log = &pendingRecord{key: keyStarts(c.term, c.startRecords), size: 32, machines: map[*machine]map[*job]bool{}}
+		c.unsavedStarts = append(c.unsavedStarts, log)
 	}
 	log.size += cost()
 	if log.machines[a.machine] == nil {
@@ -76,43 +76,43 @@
 	log.machines[a.machine][a.job] = true
 	log.live++
 	log.attempts = append(log.attempts, a)
-	a.log = log
+	a.record = log
 }
 
-// unlog takes an attempt that is gone out of its record's count.
-func (c *Controller) unlog(a *attempt) {
-	log := a.log
+// unrecord takes an attempt that is gone out of its record's count.
+func (c *Controller) unrecord(a *attempt) {
+	log := a.record
 	if log == nil {
 		return
 	}
-	a.log = nil
+	a.record = nil
 	if log.live--; log.live == 0 && log.saved {
-		c.bulk.del(log.key)
+		c.backgroundWrites.del(log.key)
 	}
 }
 
-// takeStarts puts the records of starts into a batch.
-func (c *Controller) takeStarts(b *Batch, maxOps int) {
-	for len(c.unsaved) > 0 {
-		log := c.unsaved[0]
+// addStartRecords puts the records of starts into a batch.
+func (c *Controller) addStartRecords(b *Batch, maxOps int) {
+	for len(c.unsavedStarts) > 0 {
+		log := c.unsavedStarts[0]
 		if log.live > 0 {
 			if !b.fits(log.size+64, maxOps) {
 				return
 			}
-			b.add(&write{key: log.key, value: log.value(), then: []func(){func() { c.startsDurable(log) }}, refused: func() { c.startsRefused(log) }})
+			b.add(&write{key: log.key, value: log.value(), onCommit: []func(){func() { c.startsDurable(log) }}, onRefused: func() { c.startsRefused(log) }})
 			log.saved = true
 		}
-		c.unsaved = c.unsaved[1:]
+		c.unsavedStarts = c.unsavedStarts[1:]
 	}
-	c.unsaved = nil
+	c.unsavedStarts = nil
 }
 
 // startsDurable lets the starts of a stored record go out.
-func (c *Controller) startsDurable(log *startLog) {
+func (c *Controller) startsDurable(log *pendingRecord) {
 	for _, a := range log.attempts {
-		if a.state == recording && a.log == log {
-			a.state = ordered
-			c.callSoon(a.machine)
+		if a.state == recordPending && a.record == log {
+			a.state = startSent
+			c.scheduleCall(a.machine)
 		}
 	}
 	log.attempts, log.machines = nil, nil
@@ -120,9 +120,9 @@
 
 // startsRefused lets the tasks of a record that can't be stored be placed anew:
 // none of its starts has gone out.
-func (c *Controller) startsRefused(log *startLog) {
+func (c *Controller) startsRefused(log *pendingRecord) {
 	for _, a := range log.attempts {
-		if a.state == recording && a.log == log {
+		if a.state == recordPending && a.record == log {
 			c.drop(a.orderedAt, a)
 		}
 	}
@@ -130,11 +130,11 @@
 }
 
 // value is the record's stored form; attempts gone meanwhile are left out.
-func (log *startLog) value() json.RawMessage {
+func (log *pendingRecord) value() json.RawMessage {
 	byMachine := map[*machine]map[string][]int{}
 	var order []*machine
 	for _, a := range log.attempts {
-		if a.log != log {
+		if a.record != log {
 			continue
 		}
 		jobs := byMachine[a.machine]
@@ -152,7 +152,7 @@
 			sort.Ints(list)
 			tasks[id] = ranges.FormatList(list)
 		}
-		rec.Machines = append(rec.Machines, machineStarts{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Tasks: tasks})
+		rec.Machines = append(rec.Machines, machineStarts{ID: m.id, Type: m.machineType, Zone: m.zone, Spot: m.spot, Tasks: tasks})
 	}
 	value, _ := json.Marshal(rec)
 	return value
--- /dev/null
+++ b/internal/controller/upgrade_test.go
@@ -0,0 +1,197 @@
+package controller_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"switchshore.example/switchshore/internal/controller"
+	"switchshore.example/switchshore/internal/ranges"
+	"switchshore.example/switchshore/internal/sched"
+	"switchshore.example/switchshore/internal/simtest"
+	"switchshore.example/switchshore/wire"
+)
+
+// previousVersionLeader reads what is kept as the previous version does.
+func previousVersionLeader(t *testing.T, term uint64, now time.Time, kept map[string]json.RawMessage) *leader {
+	t.Helper()
+	old := params
+	defer func() { params = old }()
+	params.State.ValueKB = 16
+	read := map[string]json.RawMessage{}
+	for key, value := range kept {
+		if item, ok := simtest.PreviousVersionReads(wire.Item{Key: key, Value: value}); ok {
+			read[key] = item.Value
+		}
+	}
+	l := newLeader(t, term, now, read)
+	l.kept = kept
+	return l
+}
+
+// previousVersionCommit makes the changes that the previous version would make.
+func (l *leader) previousVersionCommit() {
+	for b := l.NextBatch(10, 10); b != nil; b = l.NextBatch(10, 10) {
+		l.keep(simtest.PreviousVersionWrites(b.Writes))
+		l.Committed(b, nil)
+	}
+}
+
+func previousVersionRecords(t *testing.T) map[string]json.RawMessage {
+	t.Helper()
+	data, err := os.ReadFile("testdata/previous_version.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var records, kept map[string]json.RawMessage
+	if err := json.Unmarshal(data, &records); err != nil {
+		t.Fatal(err)
+	}
+	kept = map[string]json.RawMessage{}
+	for key, value := range records {
+		var b bytes.Buffer
+		_ = json.Compact(&b, value)
+		kept[key] = b.Bytes()
+	}
+	return kept
+}
+
+// TestDoneSetsOfBothVersions: the completions that the previous version stored,
+// in values larger than they may be now, and new ones in smaller parts, survive
+// leaders of both versions in any order, and are gone when the job is.
+func TestDoneSetsOfBothVersions(t *testing.T) {
+	useTightLimits(t)
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		kept := previousVersionRecords(t)
+		want := ranges.New(3000)
+		for key, value := range kept {
+			var text string
+			if strings.HasPrefix(key, "d/job-1/") && json.Unmarshal(value, &text) == nil {
+				_ = ranges.Each(text, 3000, func(i int) { want.Add(i) })
+			}
+		}
+		if seed == 0 && want.Len() != 1667 {
+			t.Fatalf("%d completions in the records", want.Len())
+		}
+		now := start.Add(time.Minute)
+		for term := uint64(8); !want.Full(); term++ {
+			former := rng.IntN(2) == 0 && want.Len() < 2900
+			var l *leader
+			if former {
+				l = previousVersionLeader(t, term, now, kept)
+			} else {
+				l = newLeader(t, term, now, kept)
+			}
+			if v := l.Query("job-1"); v.Done != want.Len() {
+				t.Fatalf("seed %d, term %d, former %v: %d done, want %d", seed, term, former, v.Done, want.Len())
+			}
+			var list []wire.TaskReport
+			for range 150 {
+				if i := rng.IntN(3000); want.Add(i) {
+					list = append(list, exited(wire.TaskName("job-1", i), 1))
+				}
+			}
+			for i := 0; want.Len() >= 2900 && i < 3000; i++ {
+				if want.Add(i) {
+					list = append(list, exited(wire.TaskName("job-1", i), 1))
+				}
+			}
+			l.report("m9", 1, list...)
+			l.pass(2 * time.Second)
+			if former {
+				l.previousVersionCommit()
+			} else {
+				l.commit()
+			}
+			now = l.now
+		}
+		next := newLeader(t, 1000, now, kept)
+		if got := next.state("job-1"); got != wire.JobDone {
+			t.Fatalf("seed %d: %s", seed, got)
+		}
+		next.pass(40 * time.Second)
+		next.commit()
+		for key := range kept {
+			if strings.HasPrefix(key, "d/") {
+				t.Errorf("seed %d: %s is left", seed, key)
+			}
+		}
+	}
+}
+
+// TestRecordsOfThePreviousVersion: jobs, ends, starts and the catalogue are taken
+// over as they are, and no job without needs is stored in another form.
+func TestRecordsOfThePreviousVersion(t *testing.T) {
+	useTightLimits(t)
+	kept := previousVersionRecords(t)
+	l := newLeader(t, 8, start.Add(time.Minute), kept)
+	for id, want := range map[string]string{"job-1": wire.JobQueued, "job-2": wire.JobDone, "job-3": wire.JobCancelled, "job-4": wire.JobQueued} {
+		if got := l.state(id); got != want {
+			t.Errorf("%s: %s, want %s", id, got, want)
+		}
+	}
+	if n := l.Counts(); n.Held == 0 || n.Machines != 2 && n.Machines != 1 {
+		t.Errorf("%+v", n)
+	}
+	record := kept["j/job-4"]
+	same := newLeader(t, 8, start, map[string]json.RawMessage{})
+	same.accept(spec("job-4"))
+	if got := same.kept["j/job-4"]; !bytes.Equal(got, record) {
+		t.Errorf("stored as\n%s, formerly\n%s", got, record)
+	}
+}
+
+// TestPreviousVersionKeepsDependentJobs: a leader of the previous version knows a
+// dependent job and can cancel it, but has no machine for it, whatever the cloud
+// offers; what it does not know of it leaves.
+func TestPreviousVersionKeepsDependentJobs(t *testing.T) {
+	useTightLimits(t)
+	l := newLeader(t, 5, start, map[string]json.RawMessage{})
+	l.accept(spec("job-1"))
+	many := dependentJob("job-3", "job-1")
+	for i := range 300 {
+		many.Types = append(many.Types, fmt.Sprintf("type-%d", i))
+	}
+	many.Types = append(many.Types, "std-8")
+	l.accept(dependentJob("job-2", "job-1"), many)
+	for key, value := range l.kept {
+		item, ok := simtest.PreviousVersionReads(wire.Item{Key: key, Value: value})
+		var rec struct {
+			Job wire.Job `json:"job"`
+		}
+		if !ok || key == "j/job-1" || json.Unmarshal(item.Value, &rec) != nil || rec.Job.ID == "" {
+			continue
+		}
+		probe := sched.Ready{Types: rec.Job.Types, Zone: rec.Job.Zone, Spot: true, Need: sched.Resources{CPUs: rec.Job.CPUs}, Total: 1}
+		if probe.Allowed(&sched.Machine{Type: "std-8", Zone: "a", Total: sched.Resources{CPUs: 8, MemoryGB: 32}}) {
+			t.Errorf("%s could be started: %s", key, value)
+		}
+	}
+	before := slices.Sorted(maps.Keys(l.kept))
+	former := previousVersionLeader(t, 6, l.now, l.kept)
+	for range 2 {
+		former.report("m1", 1)
+		former.pass(time.Second)
+		former.previousVersionCommit()
+	}
+	if got := former.Counts().Held; got != 1 {
+		t.Errorf("%d tasks placed, want that of job-1", got)
+	}
+	if former.state("job-2") != wire.JobQueued || former.state("job-3") != wire.JobQueued {
+		t.Error("not known")
+	}
+	former.Cancel(former.now, "job-2", func(controller.Verdict) {})
+	former.previousVersionCommit()
+	next := newLeader(t, 7, former.now, l.kept)
+	if next.state("job-2") != wire.JobCancelled || next.state("job-3") != wire.JobQueued {
+		t.Errorf("job-2 %s, job-3 %s, of %v", next.state("job-2"), next.state("job-3"), before)
+	}
+}
--- a/internal/controller/writes.go
+++ b/internal/controller/writes.go
@@ -17,11 +17,11 @@
 }
 
 type write struct {
-	key   string
-	value json.RawMessage // nil: delete
-	then  []func()
-	// refused is called, if set, should the state service refuse it for good.
-	refused func()
+	key      string
+	value    json.RawMessage // nil: delete
+	onCommit []func()
+	// onRefused is called, if set, should the state service refuse it for good.
+	onRefused func()
 }
 
 func (q *writeQueue) len() int { return len(q.queue) - q.head }
@@ -38,12 +38,21 @@
 	}
 	w.value = value
 	if then != nil {
-		w.then = append(w.then, then)
+		w.onCommit = append(w.onCommit, then)
 	}
 }
 
 func (q *writeQueue) del(key string) { q.put(key, nil, nil) }
 
+// writeQueues are the changes that wait for the state service, by who waits for them.
+type writeQueues struct {
+	interactiveWrites writeQueue       // what users wait for
+	dependentWrites   writeQueue       // final states that follow from those of other jobs
+	backgroundWrites  writeQueue       // what nobody waits for
+	unsavedStarts     []*pendingRecord // records of starts to be written
+	startRecords      uint64           // start records named so far
+}
+
 // Batch is a group of changes to be committed together.
 type Batch struct {
 	Writes  []wire.Write
@@ -77,8 +86,8 @@
 // changeSize is what a change takes of a transaction, its JSON frame included.
 func changeSize(key string, value json.RawMessage) int { return len(key) + len(value) + 64 }
 
-// take moves changes from the queue into the batch, at most most.
-func (q *writeQueue) take(b *Batch, maxOps, most int) {
+// moveTo moves changes from the queue into the batch, at most most.
+func (q *writeQueue) moveTo(b *Batch, maxOps, most int) {
 	for ; most > 0 && q.head < len(q.queue); most-- {
 		w := q.queue[q.head]
 		if !b.fits(changeSize(w.key, w.value), maxOps) {
@@ -103,17 +112,17 @@
 // each followed by Committed.
 func (c *Controller) NextBatch(maxOps, spare int) *Batch {
 	b := &Batch{limit: c.valueLimit()}
-	c.chain.take(b, maxOps, max(1, maxOps/tuning.ChainPart))
-	c.urgent.take(b, maxOps, maxOps)
-	c.takeStarts(b, maxOps)
-	c.chain.take(b, maxOps, spare)
-	if len(c.unsaved) == 0 {
+	c.dependentWrites.moveTo(b, maxOps, max(1, maxOps/tuning.DependentWritesPart))
+	c.interactiveWrites.moveTo(b, maxOps, maxOps)
+	c.addStartRecords(b, maxOps)
+	c.dependentWrites.moveTo(b, maxOps, spare)
+	if len(c.unsavedStarts) == 0 {
 		// A record may be deleted only once what it still stood for is stored
 		// elsewhere.
-		c.bulk.take(b, maxOps, spare)
+		c.backgroundWrites.moveTo(b, maxOps, spare)
 	}
 	for _, w := range b.tooLong {
-		c.leftOut(w)
+		c.handleRefused(w)
 	}
 	if len(b.Writes) == 0 {
 		return nil
@@ -121,12 +130,12 @@
 	return b
 }
 
-// leftOut gives a change up that can't be stored. What waits for it goes on
+// handleRefused gives a change up that can't be stored. What waits for it goes on
 // waiting, but for starts, which can be decided anew.
-func (c *Controller) leftOut(w *write) {
+func (c *Controller) handleRefused(w *write) {
 	c.log.Error().Str("key", w.key).Int("bytes", len(w.value)).Msg("record refused by the state service, left out")
-	if w.refused != nil {
-		w.refused()
+	if w.onRefused != nil {
+		w.onRefused()
 	}
 }
 
@@ -134,18 +143,18 @@
 func (c *Controller) Committed(b *Batch, refused []string) {
 	for _, w := range b.changes {
 		if slices.Contains(refused, w.key) {
-			c.leftOut(w)
+			c.handleRefused(w)
 			continue
 		}
-		for _, f := range w.then {
+		for _, f := range w.onCommit {
 			f()
 		}
 	}
 }
 
 // queued is the number of changes that wait for the state service.
-func (c *Controller) queued() int {
-	return c.urgent.len() + c.chain.len() + c.bulk.len() + len(c.unsaved)
+func (q *writeQueues) queued() int {
+	return q.interactiveWrites.len() + q.dependentWrites.len() + q.backgroundWrites.len() + len(q.unsavedStarts)
 }
 
 // Pending reports whether changes wait for the state service.
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -125,39 +125,12 @@
 // campaign waits until the leader key is free and tries to take it once. It
 // returns nil without an error when another node holds or took the key.
 func (e *Election) campaign(ctx context.Context) (*Leadership, error) {
-	var leaderVersion uint64
-	leader, err := e.Store.Get(ctx, store.KeyLeader)
-	e.held.Store(false)
-	switch {
-	case err == nil:
-		var rec LeaderRecord
-		if err := json.Unmarshal(leader.Value, &rec); err != nil {
-			return nil, err
-		}
-		// The key of this node's previous process can be taken over at once:
-		// a node runs one process, so that one is dead.
-		if rec.Node != e.Node || rec.Nonce == e.nonce {
-			e.held.Store(rec.Node != e.Node)
-			err := e.Store.Wait(ctx, store.KeyLeader, leader.Version, tuning.WatchBlock)
-			return nil, err
-		}
-		leaderVersion = leader.Version
-	case !errors.Is(err, store.ErrNotFound):
+	leaderVersion, free, err := e.awaitFreeKey(ctx)
+	if err != nil || !free {
 		return nil, err
-	default:
-		jitter := rand.N(tuning.CampaignJitter)
-		if err := store.Pause(ctx, jitter); err != nil {
-			return nil, err
-		}
 	}
-	var term store.TermRecord
-	item, err := e.Store.Get(ctx, store.KeyTerm)
-	switch {
-	case err == nil:
-		if err := json.Unmarshal(item.Value, &term); err != nil {
-			return nil, err
-		}
-	case !errors.Is(err, store.ErrNotFound):
+	term, termVersion, err := e.lastTerm(ctx)
+	if err != nil {
 		return nil, err
 	}
 	sent := time.Now()
@@ -166,39 +139,86 @@
 		return nil, err
 	}
 	e.nonce++
-	l := &Leadership{Term: term.Term + 1, lease: lease}
-	rec := LeaderRecord{Node: e.Node, Nonce: e.nonce}
-	res, err := e.Store.Commit(ctx, CampaignTxn(rec, l.Term, lease, leaderVersion, item.Version))
-	switch {
-	case err == nil:
-		l.LeaderVersion, l.TermVersion = res.Revision, res.Revision
-	case errors.Is(err, httpc.ErrNoAnswer):
-		// Settled by reading: either the key carries this campaign's nonce,
-		// or, should the transaction come later, nobody renews its lease.
-		got, err := e.Store.Get(ctx, store.KeyLeader)
-		if err != nil {
-			return nil, err
-		}
-		var rec LeaderRecord
-		if err := json.Unmarshal(got.Value, &rec); err != nil {
-			return nil, err
-		}
-		if rec.Node != e.Node || rec.Nonce != e.nonce {
-			return nil, nil
-		}
-		l.LeaderVersion, l.TermVersion = got.Version, got.Version
-	default:
-		_ = e.Store.Revoke(ctx, lease)
-		if errors.Is(err, store.ErrConflict) {
-			return nil, nil
-		}
+	l := &Leadership{Term: term + 1, lease: lease}
+	txn := CampaignTxn(LeaderRecord{Node: e.Node, Nonce: e.nonce}, l.Term, lease, leaderVersion, termVersion)
+	version, won, err := e.commitCampaign(ctx, txn, lease)
+	if err != nil || !won {
 		return nil, err
 	}
+	l.LeaderVersion, l.TermVersion = version, version
 	l.WonAt = time.Now()
 	l.Confirm(sent)
 	return l, nil
 }
 
+// awaitFreeKey reports whether the leader key may be taken, and its version. While
+// another process holds it, it waits for a change, for a bounded time.
+func (e *Election) awaitFreeKey(ctx context.Context) (version uint64, free bool, err error) {
+	leader, err := e.Store.Get(ctx, store.KeyLeader)
+	e.held.Store(false)
+	if errors.Is(err, store.ErrNotFound) {
+		return 0, true, store.Pause(ctx, rand.N(tuning.CampaignJitter))
+	}
+	if err != nil {
+		return 0, false, err
+	}
+	var holder LeaderRecord
+	if err := json.Unmarshal(leader.Value, &holder); err != nil {
+		return 0, false, err
+	}
+	// The key of this node's previous process can be taken over at once:
+	// a node runs one process, so that one is dead.
+	if holder.Node == e.Node && holder.Nonce != e.nonce {
+		return leader.Version, true, nil
+	}
+	e.held.Store(holder.Node != e.Node)
+	return 0, false, e.Store.Wait(ctx, store.KeyLeader, leader.Version, tuning.WatchBlock)
+}
+
+// lastTerm reads the last term and the version of its key, 0 for none.
+func (e *Election) lastTerm(ctx context.Context) (term, version uint64, err error) {
+	item, err := e.Store.Get(ctx, store.KeyTerm)
+	if errors.Is(err, store.ErrNotFound) {
+		return 0, item.Version, nil
+	}
+	if err != nil {
+		return 0, 0, err
+	}
+	var rec store.TermRecord
+	err = json.Unmarshal(item.Value, &rec)
+	return rec.Term, item.Version, err
+}
+
+// commitCampaign tries to take the leader key, and returns its version if that was won.
+func (e *Election) commitCampaign(ctx context.Context, txn wire.Txn, lease uint64) (version uint64, won bool, err error) {
+	res, err := e.Store.Commit(ctx, txn)
+	switch {
+	case err == nil:
+		return res.Revision, true, nil
+	case errors.Is(err, httpc.ErrNoAnswer):
+		return e.settleCampaign(ctx)
+	case errors.Is(err, store.ErrConflict):
+		err = nil
+	}
+	_ = e.Store.Revoke(ctx, lease)
+	return 0, false, err
+}
+
+// settleCampaign finds out by reading what became of a campaign without an answer:
+// either the key carries its nonce, or, should the transaction come later, nobody
+// renews its lease.
+func (e *Election) settleCampaign(ctx context.Context) (version uint64, won bool, err error) {
+	leader, err := e.Store.Get(ctx, store.KeyLeader)
+	if err != nil {
+		return 0, false, err
+	}
+	var holder LeaderRecord
+	if err := json.Unmarshal(leader.Value, &holder); err != nil {
+		return 0, false, err
+	}
+	return leader.Version, holder.Node == e.Node && holder.Nonce == e.nonce, nil
+}
+
 // reign runs Lead and renews the lease until the term is known to be over.
 func (e *Election) reign(ctx context.Context, l *Leadership) {
 	e.Log.Info().Uint64("term", l.Term).Msg("leading")
@@ -226,7 +246,7 @@
 			_ = store.Pause(ctx, tuning.StoreRetry)
 		}
 		if l.lost.Load() {
-			// A successor is known: keeping the picture up would cost the work
+			// A successor is known: keeping the state up would cost the work
 			// of a leader, for nothing.
 			cancel()
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -38,9 +37,9 @@
 	election *election.Election
 	grace    time.Duration
 
-	// mu guards the picture; nothing is sent or awaited under it.
+	// mu guards the controller; nothing is sent or awaited under it.
 	mu         sync.Mutex
-	picture    *controller.Controller
+	controller *controller.Controller
 	leadership *election.Leadership
 
 	tick  chan struct{}
@@ -66,7 +65,7 @@
 		write:    make(chan struct{}, 1),
 	}
 	n.election = &election.Election{Store: n.store, Node: c.Name, Log: log, Lead: n.lead}
-	n.hub.Self = n.beat
+	n.hub.Self = n.heartbeat
 	n.hub.Superseded = n.superseded
 	n.hub.Serve = n.Do
 	return n
@@ -91,13 +90,13 @@
 	return g.Wait()
 }
 
-// beat tells peers what this node knows of the leader.
-func (n *Node) beat() peer.Beat {
-	b := peer.Beat{Node: n.config.Name, Hears: n.hub.HearsLeader()}
+// heartbeat tells peers what this node knows of the leader.
+func (n *Node) heartbeat() peer.Heartbeat {
+	b := peer.Heartbeat{Node: n.config.Name, Hears: n.hub.HearsLeader()}
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.picture != nil {
+	if n.controller != nil {
 		b.Term = n.leadership.Term
 		b.Leads = n.leadership.Authority(now)
 		b.Grace = n.leadership.Grace(now, n.grace)
@@ -121,8 +120,8 @@
 // up sooner than during a succession, as users are better off elsewhere.
 func (n *Node) Healthy() bool {
 	now := time.Now()
-	b := n.beat()
-	ok := b.Leads || n.hub.Reaches()
+	b := n.heartbeat()
+	ok := b.Leads || n.hub.ReachesLeader()
 	n.reachMu.Lock()
 	defer n.reachMu.Unlock()
 	if ok {
@@ -161,11 +160,11 @@
 	return a
 }
 
-// local carries a call out with this node's own picture, if it has one.
+// local carries a call out with this node's own controller, if it has one.
 func (n *Node) local(ctx context.Context, c peer.Call) (peer.Answer, bool) {
 	now := time.Now()
 	n.mu.Lock()
-	p, l := n.picture, n.leadership
+	p, l := n.controller, n.leadership
 	if p == nil {
 		n.mu.Unlock()
 		return peer.Answer{}, false
@@ -222,10 +221,10 @@
 	}
 	answer, receipt := p.Report(now, r, authority)
 	switch receipt {
-	case controller.Superseded:
+	case controller.ReportSuperseded:
 		l.End()
 		return peer.Answer{}, false
-	case controller.Stale:
+	case controller.ReportStale:
 		return peer.Refusal(http.StatusServiceUnavailable, "older than what is known"), true
 	}
 	return peer.Answer{Status: http.StatusOK, Report: &answer}, true
@@ -237,236 +236,3 @@
 	default:
 	}
 }
-
-// lead is one term: load the picture, then keep it until the term ends.
-func (n *Node) lead(ctx context.Context, l *election.Leadership) error {
-	n.store.SetLeading(true)
-	defer n.store.SetLeading(false)
-	p, err := n.load(ctx, l)
-	if err != nil {
-		return err
-	}
-	n.mu.Lock()
-	n.picture, n.leadership = p, l
-	n.mu.Unlock()
-	n.hub.Poke()
-	defer func() {
-		n.mu.Lock()
-		n.picture, n.leadership = nil, nil
-		p.Stop()
-		n.mu.Unlock()
-		n.hub.Poke()
-	}()
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return n.writeLoop(ctx, p, l) })
-	g.Go(func() error { return n.tickLoop(ctx, p, l) })
-	g.Go(func() error { return n.typesLoop(ctx, p) })
-	g.Go(func() error { return n.listLoop(ctx, p) })
-	return g.Wait()
-}
-
-// load reads everything stored. The reads come after the leader key was
-// taken, so no predecessor's write can come after them.
-func (n *Node) load(ctx context.Context, l *election.Leadership) (*controller.Controller, error) {
-	for {
-		p := controller.New(n.log, n.config.Params, *n.operator, l.Term, l.WonAt, n.grace)
-		var err error
-		for _, prefix := range controller.Prefixes {
-			err = n.store.List(ctx, prefix, func(item wire.Item) error {
-				return p.Load(time.Now(), time.Now(), item)
-			})
-			if err != nil {
-				break
-			}
-		}
-		if err == nil {
-			p.Loaded(time.Now())
-			return p, nil
-		}
-		level, pause := zerolog.DebugLevel, tuning.StoreRetry
-		if errors.Is(err, controller.ErrDamaged) {
-			level, pause = zerolog.ErrorLevel, tuning.DamagedRetry
-		}
-		n.log.WithLevel(level).Err(err).Msg("load")
-		if err := store.Pause(ctx, pause); err != nil {
-			return nil, err
-		}
-	}
-}
-
-// writeLoop commits the picture's changes, one batch after the other.
-func (n *Node) writeLoop(ctx context.Context, p *controller.Controller, l *election.Leadership) error {
-	w := store.NewWriter(l.Term, l.LeaderVersion, l.TermVersion)
-	for {
-		n.mu.Lock()
-		b := p.NextBatch(n.store.MaxOps(), n.store.Spare())
-		n.mu.Unlock()
-		if b == nil {
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-n.write:
-			}
-			if err := store.Pause(ctx, tuning.BatchGap); err != nil {
-				return err
-			}
-			continue
-		}
-		refused, err := w.Commit(ctx, n.store, b.Writes)
-		if err != nil {
-			return err
-		}
-		n.mu.Lock()
-		p.Committed(b, refused)
-		n.mu.Unlock()
-		n.wake(n.tick)
-	}
-}
-
-// tickLoop runs placement passes and plans.
-func (n *Node) tickLoop(ctx context.Context, p *controller.Controller, l *election.Leadership) error {
-	timer := time.NewTicker(tuning.TickEvery)
-	defer timer.Stop()
-	calls, ctx := errgroup.WithContext(ctx)
-	defer func() { _ = calls.Wait() }()
-	summary := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-timer.C:
-		case <-n.tick:
-		}
-		now := time.Now()
-		authority := l.Authority(now)
-		n.mu.Lock()
-		p.Tick(now, authority)
-		var todo []controller.CloudCall
-		var direct []*controller.DirectCall
-		if authority {
-			todo = p.Plan(now)
-			direct = p.Direct(now)
-		}
-		pending := p.Pending()
-		var counts controller.Counts
-		if now.Sub(summary) > tuning.SummaryEvery {
-			counts = p.Counts()
-		}
-		n.mu.Unlock()
-		for _, call := range direct {
-			calls.Go(func() error {
-				n.callWorker(ctx, p, call)
-				return nil
-			})
-		}
-		if pending {
-			n.wake(n.write)
-		}
-		for _, call := range todo {
-			calls.Go(func() error {
-				n.callCloud(ctx, p, call)
-				return nil
-			})
-		}
-		if now.Sub(summary) > tuning.SummaryEvery {
-			summary = now
-			n.log.Debug().Int("jobs", counts.Jobs).Int("ready", counts.Ready).Int("held", counts.Held).
-				Int("machines", counts.Machines).Int("up", counts.Up).Int("spot", counts.Spot).
-				Float64("cpus", counts.CPUs).Float64("used", counts.UsedCPUs).Float64("wanted", counts.WantedCPUs).Int("writes", counts.Writes).Int("chain", counts.Chain).Int("scores", counts.Scores).Msg("summary")
-		}
-		if err := store.Pause(ctx, tuning.TickGap); err != nil {
-			return err
-		}
-	}
-}
-
-// callCloud carries one rental or release through to an answer.
-func (n *Node) callCloud(ctx context.Context, p *controller.Controller, call controller.CloudCall) {
-	for ctx.Err() == nil {
-		var names []string
-		var err error
-		if call.Op == controller.CloudRent {
-			names, err = n.cloud.Rent(ctx, call.Rent)
-			if errors.Is(err, cloud.ErrRefused) || errors.Is(err, cloud.ErrMalformed) {
-				names, err = nil, nil
-			}
-		} else {
-			err = n.cloud.Release(ctx, call.Release)
-		}
-		if err == nil {
-			now := time.Now()
-			n.mu.Lock()
-			if call.Op == controller.CloudRent {
-				p.Rented(now, call.Rent, names)
-			} else {
-				p.Released(now, call.Release)
-			}
-			n.mu.Unlock()
-			n.wake(n.tick)
-			return
-		}
-		n.log.Debug().Err(err).Msg("cloud")
-		_ = store.Pause(ctx, tuning.CloudRetry)
-	}
-}
-
-// callWorker carries one direct call to a worker.
-func (n *Node) callWorker(ctx context.Context, p *controller.Controller, call *controller.DirectCall) {
-	var r wire.Report
-	outcome := controller.DirectAnswered
-	status, err := n.workers.Do(ctx, call.Addr, tuning.DirectTimeout, http.MethodPost, wire.PathCommands, call.Request, &r)
-	switch {
-	case errors.Is(err, httpc.ErrNotSent):
-		outcome = controller.DirectNever
-	case err != nil || status != http.StatusOK && status != http.StatusConflict:
-		outcome = controller.DirectUnknown
-	}
-	n.mu.Lock()
-	p.DirectDone(time.Now(), call, outcome, &r)
-	n.mu.Unlock()
-	n.wake(n.tick)
-}
-
-func (n *Node) typesLoop(ctx context.Context, p *controller.Controller) error {
-	for {
-		types, err := n.cloud.Types(ctx)
-		pause := tuning.TypesEvery
-		if err != nil {
-			pause = tuning.CloudRetry
-		} else {
-			n.mu.Lock()
-			p.SetTypes(types)
-			n.mu.Unlock()
-			n.wake(n.tick)
-		}
-		if err := store.Pause(ctx, pause); err != nil {
-			return err
-		}
-	}
-}
-
-func (n *Node) listLoop(ctx context.Context, p *controller.Controller) error {
-	every := func(part float64) time.Duration {
-		return max(tuning.ListMinimum, time.Duration(n.config.Params.Cloud.ListLagS*part*float64(time.Second)))
-	}
-	for {
-		asked := time.Now()
-		list, err := n.cloud.List(ctx)
-		pause := every(tuning.ListEvery)
-		if err != nil {
-			pause = tuning.CloudRetry
-		} else {
-			now := time.Now()
-			n.mu.Lock()
-			p.Listed(asked, now, list)
-			if p.Silent(now) {
-				pause = every(tuning.ListUrgent)
-			}
-			n.mu.Unlock()
-			n.wake(n.tick)
-		}
-		if err := store.Pause(ctx, pause); err != nil {
-			return err
-		}
-	}
-}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,7 +15,7 @@
 
 	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/node"
-	"switchshore.example/switchshore/internal/standin"
+	"switchshore.example/switchshore/internal/simtest"
 	"switchshore.example/switchshore/wire"
 )
 
@@ -30,7 +30,7 @@
 	stop  []context.CancelFunc
 	ended []chan struct{}
 	// services are the state service and the cloud.
-	services *standin.Server
+	services *simtest.Server
 }
 
 func listen(t *testing.T) net.Listener {
@@ -49,7 +49,7 @@
 }
 
 func start(t *testing.T, size int) *cluster {
-	services := standin.NewServer(wire.MachineType{
+	services := simtest.NewServer(wire.MachineType{
 		Name: "std-8", CPUs: 8, MemoryGB: 32, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 0.1, Zones: []string{"a"},
 	})
 	ln := listen(t)
@@ -159,10 +159,10 @@
 	c.t.Fatalf("%s %s: %d %+v, want %d %s", method, path, got, js, status, state)
 }
 
-// TestWholeNodes goes the way of a user through real sockets: submission at
+// TestNodesOverLoopback goes the way of a user through real sockets: submission at
 // each node, the same again, done, cancellation, refusals, and the end of
 // every node in turn but the last.
-func TestWholeNodes(t *testing.T) {
+func TestNodesOverLoopback(t *testing.T) {
 	c := start(t, 3)
 	for i, addr := range c.addrs {
 		id := fmt.Sprintf("job-%06d", i)
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,128 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"switchshore.example/switchshore/internal/store"
+	"switchshore.example/switchshore/internal/tuning"
+)
+
+// link is this node's connection to one peer.
+type link struct {
+	hub        *Hub
+	name, addr string
+	poke       chan struct{}
+
+	up      bool // guarded by hub.mu
+	mu      sync.Mutex
+	out     *lineWriter
+	nextID  uint64
+	waiting map[uint64]chan Answer
+}
+
+func (l *link) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		conn, err := net.DialTimeout("tcp4", l.addr, tuning.PeerDialTimeout)
+		if err == nil {
+			l.serve(ctx, conn)
+		}
+		if store.Pause(ctx, tuning.PeerRedial) != nil {
+			break
+		}
+	}
+	return nil
+}
+
+// serve keeps one connection: heartbeats out, heartbeats and answers in. A connection
+// on which nothing comes back for PeerSilence is given up, as a cut gives no
+// error.
+func (l *link) serve(ctx context.Context, conn net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	out := newLineWriter(conn)
+	go out.run(ctx)
+	l.mu.Lock()
+	l.out = out
+	l.waiting = map[uint64]chan Answer{}
+	l.mu.Unlock()
+	go func() {
+		defer cancel()
+		for ctx.Err() == nil {
+			self := l.hub.Self()
+			if out.write(&line{Heartbeat: &self}) != nil {
+				return
+			}
+			select {
+			case <-ctx.Done():
+			case <-l.poke:
+			case <-time.After(tuning.HeartbeatInterval):
+			}
+		}
+	}()
+	_ = readLines(conn, func(m *line) {
+		switch {
+		case m.Heartbeat != nil:
+			l.hub.recordHeartbeat(m.Heartbeat)
+			l.setUp(true)
+		case m.Answer != nil:
+			l.mu.Lock()
+			ch := l.waiting[m.Answer.ID]
+			delete(l.waiting, m.Answer.ID)
+			l.mu.Unlock()
+			if ch != nil {
+				ch <- *m.Answer
+			}
+		}
+	})
+	l.setUp(false)
+	_ = conn.Close()
+	l.mu.Lock()
+	l.out = nil
+	for id, ch := range l.waiting {
+		delete(l.waiting, id)
+		close(ch)
+	}
+	l.mu.Unlock()
+}
+
+func (l *link) setUp(up bool) {
+	l.hub.mu.Lock()
+	l.up = up
+	l.hub.mu.Unlock()
+}
+
+func (l *link) call(ctx context.Context, c Call) (Answer, error) {
+	ch := make(chan Answer, 1)
+	l.mu.Lock()
+	out := l.out
+	if out == nil || len(l.waiting) >= tuning.PeerCalls {
+		l.mu.Unlock()
+		return Answer{}, ErrUnreachable
+	}
+	l.nextID++
+	c.ID = l.nextID
+	l.waiting[c.ID] = ch
+	l.mu.Unlock()
+	if err := out.write(&line{Call: &c}); err != nil {
+		return Answer{}, err
+	}
+	select {
+	case a, ok := <-ch:
+		if !ok {
+			return Answer{}, ErrUnreachable
+		}
+		return a, nil
+	case <-ctx.Done():
+		l.mu.Lock()
+		if l.waiting[c.ID] == ch {
+			delete(l.waiting, c.ID)
+		}
+		l.mu.Unlock()
+		return Answer{}, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/peer/messages.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"switchshore.example/switchshore/wire"
+)
+
+// Operations that are forwarded.
+const (
+	OpSubmit = "submit"
+	OpQuery  = "query"
+	OpCancel = "cancel"
+	OpReport = "report"
+)
+
+// Call is a request on its way to the leader.
+type Call struct {
+	ID   uint64    `json:"id"`
+	Op   string    `json:"op"`
+	Job  string    `json:"job,omitempty"`
+	Spec *wire.Job `json:"spec,omitempty"`
+	// WithDependencies is in the place of Spec for a job that needs others. Versions
+	// that don't know such jobs would lose what it needs and start it early;
+	// without Spec the call is incomplete to them, and refused at once.
+	WithDependencies *wire.Job    `json:"chained,omitempty"`
+	Report           *wire.Report `json:"report,omitempty"`
+	// Hops counts forwards; a call is relayed once at most.
+	Hops int `json:"hops,omitempty"`
+}
+
+// Submit returns the call for a submission.
+func Submit(job *wire.Job) Call {
+	c := Call{Op: OpSubmit, Job: job.ID}
+	if len(job.Needs) > 0 {
+		c.WithDependencies = job
+	} else {
+		c.Spec = job
+	}
+	return c
+}
+
+// Submission is the job to be submitted.
+func (c *Call) Submission() *wire.Job {
+	if c.WithDependencies != nil {
+		return c.WithDependencies
+	}
+	return c.Spec
+}
+
+// complete reports whether the call carries what its operation needs. A peer
+// of another version, in the middle of an upgrade, may send less.
+func (c *Call) complete() bool {
+	switch c.Op {
+	case OpSubmit:
+		return c.Submission() != nil
+	case OpReport:
+		return c.Report != nil
+	}
+	return true
+}
+
+// Answer is a status with what the caller is told: of a job, of a report, or
+// why it is refused.
+type Answer struct {
+	ID     uint64             `json:"id"`
+	Status int                `json:"status"`
+	Job    *wire.JobStatus    `json:"job,omitempty"`
+	Report *wire.ReportAnswer `json:"report,omitempty"`
+	Why    string             `json:"why,omitempty"`
+}
+
+// Final reports whether the answer stays true for good, whoever leads.
+func (a *Answer) Final() bool { return a.Status/100 == 2 && a.Job != nil && wire.Final(a.Job.State) }
+
+// Refusal is an answer other than success.
+func Refusal(status int, why string) Answer { return Answer{Status: status, Why: why} }
+
+// Heartbeat says what a node knows of the leader.
+type Heartbeat struct {
+	Node string `json:"node"`
+	// Term is the node's own term if it leads, or may still answer reports.
+	Term uint64 `json:"term,omitempty"`
+	// Leads: with authority. Grace: reports only.
+	Leads bool `json:"leads,omitempty"`
+	Grace bool `json:"grace,omitempty"`
+	// Hears: the node has a direct link to a leader with authority.
+	Hears bool `json:"hears,omitempty"`
+}
+
+type line struct {
+	Heartbeat *Heartbeat `json:"beat,omitempty"`
+	Call      *Call      `json:"call,omitempty"`
+	Answer    *Answer    `json:"answer,omitempty"`
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -12,7 +12,7 @@
 	"github.com/goccy/go-json"
 	"github.com/rs/zerolog"
 
-	"switchshore.example/switchshore/internal/standin"
+	"switchshore.example/switchshore/internal/simtest"
 	"switchshore.example/switchshore/wire"
 )
 
@@ -46,11 +46,11 @@
 	}
 }
 
-// TestFormerVersionsLines: what nodes of the version before the chained jobs
+// TestPreviousVersionsLines: what nodes of the version before the dependent jobs
 // send is understood in full, and read by those nodes as they wrote it when sent
-// back; a chained job is refused by them, not carried out without what it needs.
-func TestFormerVersionsLines(t *testing.T) {
-	data, err := os.ReadFile("testdata/former.jsonl")
+// back; a dependent job is refused by them, not carried out without what it needs.
+func TestPreviousVersionsLines(t *testing.T) {
+	data, err := os.ReadFile("testdata/previous_version.jsonl")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,7 +76,7 @@
 	plain, _ := json.Marshal(Submit(job))
 	job.Needs = []string{"job-000002"}
 	chained, _ := json.Marshal(Submit(job))
-	if standin.FormerRefuses(plain) || !standin.FormerRefuses(chained) {
+	if simtest.PreviousVersionRefuses(plain) || !simtest.PreviousVersionRefuses(chained) {
 		t.Errorf("%s\n%s", plain, chained)
 	}
 	var c Call
--- a/internal/provision/provision_test.go
+++ b/internal/provision/provision_test.go
@@ -53,10 +53,10 @@
 	}
 }
 
-// TestSteadyWork: while work waits that could begin in time on the machines
+// TestRentalsFollowInflow: while work waits that could begin in time on the machines
 // there are, machines of the cheapest offer are rented up to what keeps coming;
 // none of dearer ones, and none while all fits.
-func TestSteadyWork(t *testing.T) {
+func TestRentalsFollowInflow(t *testing.T) {
 	size := sched.Resources{CPUs: 8, MemoryGB: 32}
 	rent := func(inflow float64, tasks int, refused bool) map[Offer]int {
 		in := Input{
--- a/internal/standin/http.go
+++ b/internal/simtest/http.go
@@ -1,4 +1,4 @@
-package standin
+package simtest
 
 import (
 	"encoding/json"
--- a/internal/standin/former.go
+++ b/internal/simtest/previous_version.go
@@ -1,4 +1,4 @@
-package standin
+package simtest
 
 import (
 	"encoding/json"
@@ -9,12 +9,12 @@
 	"switchshore.example/switchshore/wire"
 )
 
-// The version before the chained jobs, as a frozen picture: what it makes of the
+// The version before the dependent jobs, frozen: what it makes of the
 // records that it finds, and which it writes. It led by the same rules otherwise,
 // so a node of the world plays it by leading behind these filters.
 
-// formerJob is the job that the former version knew.
-type formerJob struct {
+// previousVersionJob is the job that the previous version knew.
+type previousVersionJob struct {
 	ID          string   `json:"ref"`
 	Class       string   `json:"muster"`
 	Team        string   `json:"crew"`
@@ -38,19 +38,19 @@
 }
 
 var (
-	formerPrefixes = []string{"c/types", "j/", "d/", "f/", "m/", "s/"}
-	formerDone     = regexp.MustCompile(`^d/[^/]+/[0-9]+$`)
+	previousVersionPrefixes = []string{"c/types", "j/", "d/", "f/", "m/", "s/"}
+	previousVersionDoneKey  = regexp.MustCompile(`^d/[^/]+/[0-9]+$`)
 )
 
-// FormerReads is a record as the former version reads it, false if it doesn't.
-func FormerReads(item wire.Item) (wire.Item, bool) {
-	if !slices.ContainsFunc(formerPrefixes, func(p string) bool { return strings.HasPrefix(item.Key, p) }) {
+// PreviousVersionReads is a record as the previous version reads it, false if it doesn't.
+func PreviousVersionReads(item wire.Item) (wire.Item, bool) {
+	if !slices.ContainsFunc(previousVersionPrefixes, func(p string) bool { return strings.HasPrefix(item.Key, p) }) {
 		return item, false
 	}
 	if strings.HasPrefix(item.Key, "j/") {
 		var rec struct {
-			Job formerJob `json:"job"`
-			At  int64     `json:"at"`
+			Job previousVersionJob `json:"job"`
+			At  int64              `json:"at"`
 		}
 		if json.Unmarshal(item.Value, &rec) == nil {
 			item.Value, _ = json.Marshal(rec)
@@ -59,18 +59,18 @@
 	return item, true
 }
 
-// FormerWrites are those of a leader's changes that the former version makes: it
+// PreviousVersionWrites are those of a leader's changes that the previous version makes: it
 // does not touch keys that it has no names for.
-func FormerWrites(writes []wire.Write) []wire.Write {
+func PreviousVersionWrites(writes []wire.Write) []wire.Write {
 	return slices.DeleteFunc(slices.Clone(writes), func(w wire.Write) bool {
 		key := w.Key()
-		return strings.HasPrefix(key, "n/") || strings.HasPrefix(key, "d/") && !formerDone.MatchString(key)
+		return strings.HasPrefix(key, "n/") || strings.HasPrefix(key, "d/") && !previousVersionDoneKey.MatchString(key)
 	})
 }
 
-// FormerRefuses reports whether a call between nodes, as JSON, is incomplete to
-// the former version, which then answers 503 at once.
-func FormerRefuses(call []byte) bool {
+// PreviousVersionRefuses reports whether a call between nodes, as JSON, is incomplete to
+// the previous version, which then answers 503 at once.
+func PreviousVersionRefuses(call []byte) bool {
 	var c struct {
 		Op     string           `json:"op"`
 		Spec   *json.RawMessage `json:"spec"`
--- a/internal/standin/rules.go
+++ b/internal/simtest/rules.go
@@ -1,4 +1,4 @@
-package standin
+package simtest
 
 import (
 	"fmt"
@@ -6,7 +6,6 @@
 	"time"
 
 	"switchshore.example/switchshore/internal/config"
-	"switchshore.example/switchshore/internal/sched"
 	"switchshore.example/switchshore/wire"
 )
 
@@ -15,25 +14,25 @@
 	Teams  []config.Team
 	Cancel time.Duration
 
-	jobs    map[string]*jobTruth
+	jobs    map[string]*jobRecord
 	on      map[string]string // task -> machine, while it is on it
 	started int
 	// Ended, if set, is told of every job whose last task has just completed.
 	Ended func(id string)
-	// waitsFrom is since when jobs wait although they could start, lookedAt when
+	// waiting is since when jobs wait although they could start, lookedAt when
 	// that was looked at last.
-	waitsFrom map[string]waitingSince
-	lookedAt  time.Time
+	waiting  map[string]waitingSince
+	lookedAt time.Time
 }
 
-type jobTruth struct {
+type jobRecord struct {
 	job         *wire.Job
 	accepted    bool
 	askedCancel bool
 	cancelledAt time.Time // when its user was told
 	done        bool      // its user was told
 	finished    map[string]bool
-	over        bool // all tasks have completed
+	completed   bool // all tasks have completed
 	toldAt      time.Time
 	answeredAt  time.Time // when a question about it was last answered
 }
@@ -41,7 +40,7 @@
 // cancelledBy reports whether the user's cancellation of a job before this one,
 // through any number of steps, was asked for, and since when its user has been
 // told of one, zero if of none.
-func (r *Rules) cancelledBy(t *jobTruth) (asked bool, told time.Time) {
+func (r *Rules) cancelledBy(t *jobRecord) (asked bool, told time.Time) {
 	for _, id := range t.job.Needs {
 		need := r.jobs[id]
 		if need == nil {
@@ -60,11 +59,11 @@
 }
 
 // unanswered is for how long no question about a job may go unanswered once
-// all troubles are over.
+// all faults are over.
 const unanswered = 75 * time.Second
 
 // Forgotten finds an accepted job about which no question has been answered
-// for long, however others fare; settled is when all troubles were over.
+// for long, however others fare; settled is when all faults were over.
 func (r *Rules) Forgotten(now, settled time.Time) error {
 	if now.Sub(settled) < unanswered {
 		return nil
@@ -79,13 +78,13 @@
 
 // NewRules returns a checker.
 func NewRules(teams []config.Team, cancel time.Duration) *Rules {
-	return &Rules{Teams: teams, Cancel: cancel, jobs: map[string]*jobTruth{}, on: map[string]string{}, waitsFrom: map[string]waitingSince{}}
+	return &Rules{Teams: teams, Cancel: cancel, jobs: map[string]*jobRecord{}, on: map[string]string{}, waiting: map[string]waitingSince{}}
 }
 
 // Submitted notes that a user submits a job.
 func (r *Rules) Submitted(j *wire.Job) {
 	if r.jobs[j.ID] == nil {
-		r.jobs[j.ID] = &jobTruth{job: j, finished: map[string]bool{}}
+		r.jobs[j.ID] = &jobRecord{job: j, finished: map[string]bool{}}
 	}
 }
 
@@ -138,32 +137,9 @@
 
 // Check compares the tasks on all machines with the step before.
 func (r *Rules) Check(now time.Time, workers []*Worker) error {
-	on := map[string]string{}
-	for _, w := range workers {
-		if now.After(w.LeaseEnd) {
-			// A hanging machine whose lease has run out kills all it holds
-			// before it does anything else.
-			continue
-		}
-		for _, t := range w.sorted() {
-			if t.State == wire.TaskExited && t.Why == wire.WhyDone {
-				id, _, _ := wire.SplitTask(t.Name)
-				truth := r.jobs[id]
-				if truth.finished[t.Name] = true; len(truth.finished) == truth.job.Tasks && !truth.over {
-					truth.over = true
-					if r.Ended != nil {
-						r.Ended(id)
-					}
-				}
-			}
-			if !t.On() {
-				continue
-			}
-			if other, twice := on[t.Name]; twice {
-				return fmt.Errorf("ran_twice: %s on %s and %s", t.Name, other, w.ID)
-			}
-			on[t.Name] = w.ID
-		}
+	on, err := r.tasksOn(now, workers)
+	if err != nil {
+		return err
 	}
 	used := map[string]float64{}
 	zones := map[string]map[string]int{}
@@ -194,26 +170,72 @@
 		}
 		r.started++
 		id, _, _ := wire.SplitTask(task)
-		j, w := r.jobs[id].job, byID[machine]
-		count := zones[id]
-		switch {
-		case w.Offer.Spot && !j.Spot, j.Zone != "" && j.Zone != w.Offer.Zone,
-			len(j.Types) > 0 && !slices.Contains(j.Types, w.Offer.Type):
-			return fmt.Errorf("wrong_place: %s on %s", task, machine)
-		case !r.over(j.Needs):
-			return fmt.Errorf("too_early: %s on %s before %v are done", task, machine, j.Needs)
-		case j.OneZone && len(count) > 1:
-			return fmt.Errorf("wrong_place: %s, a job for one zone, in %v", task, count)
-		case j.Spread && count[w.Offer.Zone] > (j.Tasks+1)/2:
-			return fmt.Errorf("wrong_place: %s, a job to be spread, in %v", task, count)
+		if err := r.checkStart(task, r.jobs[id].job, byID[machine], zones[id]); err != nil {
+			return err
 		}
 	}
 	r.on = on
 	return nil
 }
 
-// over reports whether all tasks of the jobs have completed.
-func (r *Rules) over(ids []string) bool {
+// tasksOn are the tasks that are on machines, by name, with the machine of each. It notes
+// those that have completed.
+func (r *Rules) tasksOn(now time.Time, workers []*Worker) (map[string]string, error) {
+	on := map[string]string{}
+	for _, w := range workers {
+		if now.After(w.LeaseEnd) {
+			// A hanging machine whose lease has run out kills all it holds
+			// before it does anything else.
+			continue
+		}
+		for _, t := range w.sorted() {
+			if t.State == wire.TaskExited && t.Why == wire.WhyDone {
+				r.noteCompleted(t.Name)
+			}
+			if !t.On() {
+				continue
+			}
+			if other, twice := on[t.Name]; twice {
+				return nil, fmt.Errorf("ran_twice: %s on %s and %s", t.Name, other, w.ID)
+			}
+			on[t.Name] = w.ID
+		}
+	}
+	return on, nil
+}
+
+func (r *Rules) noteCompleted(task string) {
+	id, _, _ := wire.SplitTask(task)
+	t := r.jobs[id]
+	t.finished[task] = true
+	if len(t.finished) < t.job.Tasks || t.completed {
+		return
+	}
+	t.completed = true
+	if r.Ended != nil {
+		r.Ended(id)
+	}
+}
+
+// checkStart checks the place and the time of a start; zones counts the tasks of the job
+// that are on machines, this one included.
+func (r *Rules) checkStart(task string, j *wire.Job, w *Worker, zones map[string]int) error {
+	switch {
+	case w.Offer.Spot && !j.Spot, j.Zone != "" && j.Zone != w.Offer.Zone,
+		len(j.Types) > 0 && !slices.Contains(j.Types, w.Offer.Type):
+		return fmt.Errorf("wrong_place: %s on %s", task, w.ID)
+	case !r.allFinished(j.Needs):
+		return fmt.Errorf("too_early: %s on %s before %v are done", task, w.ID, j.Needs)
+	case j.OneZone && len(zones) > 1:
+		return fmt.Errorf("wrong_place: %s, a job for one zone, in %v", task, zones)
+	case j.Spread && zones[w.Offer.Zone] > (j.Tasks+1)/2:
+		return fmt.Errorf("wrong_place: %s, a job to be spread, in %v", task, zones)
+	}
+	return nil
+}
+
+// allFinished reports whether all tasks of the jobs have completed.
+func (r *Rules) allFinished(ids []string) bool {
 	for _, id := range ids {
 		if t := r.jobs[id]; t == nil || len(t.finished) != t.job.Tasks {
 			return false
@@ -257,130 +279,6 @@
 	return nil
 }
 
-// longestWait is for how long a job may wait while it could start, once all
-// troubles are over.
-const longestWait = 90 * time.Second
-
-// LeftWaiting finds a job of which a task has waited for long, without the start of any
-// other of the job, while a machine that fits had room and its team was under its limit.
-// It is to be asked only once all troubles are over, and looks once a second.
-func (r *Rules) LeftWaiting(now time.Time, workers []*Worker) error {
-	if now.Sub(r.lookedAt) < time.Second {
-		return nil
-	}
-	r.lookedAt = now
-	o := r.occupancy(workers)
-	for id, t := range r.jobs {
-		if !r.waits(t, o.listed[id]) || !r.underLimit(t.job, o.used) || !slices.ContainsFunc(workers, func(w *Worker) bool { return o.admits(now, w, t.job) }) {
-			delete(r.waitsFrom, id)
-			continue
-		}
-		started := len(o.listed[id])
-		since, ok := r.waitsFrom[id]
-		if !ok || started > since.listed {
-			r.waitsFrom[id] = waitingSince{now, started}
-			continue
-		}
-		r.waitsFrom[id] = waitingSince{since.at, started}
-		if waited := now.Sub(since.at); waited > longestWait {
-			return fmt.Errorf("left_waiting: %s for %v, though a machine has room", id, waited)
-		}
-	}
-	return nil
-}
-
-// waitingSince is since when a job has waited, and how many of its tasks were on
-// machines when that was looked at last.
-type waitingSince struct {
-	at     time.Time
-	listed int
-}
-
-// waits reports whether a task of a job is to be started: one that has neither completed
-// nor is listed by a machine. What completed on a machine that was lost may have to run
-// again, so as long as nothing is listed, what its user was told counts.
-func (r *Rules) waits(t *jobTruth, listed map[string]bool) bool {
-	if !t.accepted || t.askedCancel || t.done || !r.toldDone(t.job.Needs) {
-		return false
-	}
-	if len(listed) == 0 {
-		return true
-	}
-	there := len(t.finished)
-	for task := range listed {
-		if !t.finished[task] {
-			there++
-		}
-	}
-	return there < t.job.Tasks
-}
-
-// occupancy is what machines list that has not exited, tasks that fetch their image
-// included.
-type occupancy struct {
-	listed map[string]map[string]bool // tasks, by job
-	zones  map[string]map[string]int  // number of tasks, by job and zone
-	used   map[string]float64         // CPUs, by team
-	free   map[*Worker]sched.Resources
-}
-
-func (r *Rules) occupancy(workers []*Worker) occupancy {
-	o := occupancy{map[string]map[string]bool{}, map[string]map[string]int{}, map[string]float64{}, map[*Worker]sched.Resources{}}
-	for _, w := range workers {
-		room := sched.Resources{CPUs: w.Type.CPUs, GPUs: w.Type.GPUs, MemoryGB: w.Type.MemoryGB}
-		for _, t := range w.Tasks {
-			if t.State == wire.TaskExited {
-				continue
-			}
-			id, _, _ := wire.SplitTask(t.Name)
-			j := r.jobs[id].job
-			if o.listed[id] == nil {
-				o.listed[id], o.zones[id] = map[string]bool{}, map[string]int{}
-			}
-			o.listed[id][t.Name] = true
-			o.zones[id][w.Offer.Zone]++
-			o.used[j.Team] += j.CPUs
-			room = room.Add(taskNeed(j), -1)
-		}
-		o.free[w] = room
-	}
-	return o
-}
-
-func taskNeed(j *wire.Job) sched.Resources {
-	return sched.Resources{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}
-}
-
-// admits reports whether one more task of a job could start on a machine now.
-func (o occupancy) admits(now time.Time, w *Worker, j *wire.Job) bool {
-	zone, zones := w.Offer.Zone, o.zones[j.ID]
-	switch {
-	case w.Faulty, w.Notice != nil, now.After(w.LeaseEnd):
-		return false
-	case w.Offer.Spot && !j.Spot, j.Zone != "" && j.Zone != zone:
-		return false
-	case len(j.Types) > 0 && !slices.Contains(j.Types, w.Offer.Type):
-		return false
-	case j.OneZone && len(zones) > 0 && zones[zone] == 0:
-		return false
-	case j.Spread && zones[zone] >= (j.Tasks+1)/2:
-		return false
-	}
-	return o.free[w].Fits(taskNeed(j))
-}
-
-// toldDone reports whether the users of all the jobs were told that they are done.
-func (r *Rules) toldDone(ids []string) bool {
-	return !slices.ContainsFunc(ids, func(id string) bool { return !r.KnownDone(id) })
-}
-
-// underLimit reports whether one more task of a job fits into its team's limit.
-func (r *Rules) underLimit(j *wire.Job, used map[string]float64) bool {
-	return slices.ContainsFunc(r.Teams, func(t config.Team) bool {
-		return t.Name == j.Team && (t.CPUsMax == 0 || used[t.Name]+j.CPUs <= t.CPUsMax)
-	})
-}
-
 // Holders lists the machines that tasks of a job are on.
 func (r *Rules) Holders(id string) []string {
 	var out []string
@@ -414,8 +312,8 @@
 	return n
 }
 
-// CalledOff reports whether a job's user has asked for its cancellation.
-func (r *Rules) CalledOff(id string) bool { return r.jobs[id].askedCancel }
+// CancelRequested reports whether a job's user has asked for its cancellation.
+func (r *Rules) CancelRequested(id string) bool { return r.jobs[id].askedCancel }
 
 // KnownDone reports whether a job's user was told that it is done.
 func (r *Rules) KnownDone(id string) bool { return r.jobs[id].done }
--- a/internal/standin/rules_test.go
+++ b/internal/simtest/rules_test.go
@@ -1,4 +1,4 @@
-package standin_test
+package simtest_test
 
 import (
 	"strings"
@@ -6,42 +6,42 @@
 	"time"
 
 	"switchshore.example/switchshore/internal/config"
-	"switchshore.example/switchshore/internal/standin"
+	"switchshore.example/switchshore/internal/simtest"
 	"switchshore.example/switchshore/wire"
 )
 
 // ruleCase is a checker with one job, and a way to put tasks on machines.
 type ruleCase struct {
-	*standin.Rules
+	*simtest.Rules
 	now time.Time
 	job *wire.Job
-	at  map[string]*standin.Worker
+	at  map[string]*simtest.Worker
 }
 
 func newRuleCase() *ruleCase {
 	j := &wire.Job{ID: "job-1", Team: "blue", Tasks: 3, CPUs: 4, MemoryGB: 1, Spot: true}
 	c := &ruleCase{
-		Rules: standin.NewRules([]config.Team{{Name: "blue", CPUsMax: 8}}, 45*time.Second),
-		now:   time.Unix(1_700_000_000, 0), job: j, at: map[string]*standin.Worker{},
+		Rules: simtest.NewRules([]config.Team{{Name: "blue", CPUsMax: 8}}, 45*time.Second),
+		now:   time.Unix(1_700_000_000, 0), job: j, at: map[string]*simtest.Worker{},
 	}
 	c.Submitted(j)
 	return c
 }
 
 // worker adds a machine in a zone.
-func (c *ruleCase) worker(id, zone string, spot bool) *standin.Worker {
-	w := standin.NewWorker(c.now, wire.ListedMachine{Name: id, Type: "std-8", Zone: zone, Spot: spot}, machineType, time.Hour)
+func (c *ruleCase) worker(id, zone string, spot bool) *simtest.Worker {
+	w := simtest.NewWorker(c.now, wire.ListedMachine{Name: id, Type: "std-8", Zone: zone, Spot: spot}, machineType, time.Hour)
 	c.at[id] = w
 	return w
 }
 
 // put lists a task on a machine.
-func (c *ruleCase) put(w *standin.Worker, task, state, why string) {
-	w.Tasks[task] = &standin.Task{Name: task, Attempt: 1, State: state, Why: why}
+func (c *ruleCase) put(w *simtest.Worker, task, state, why string) {
+	w.Tasks[task] = &simtest.Task{Name: task, Attempt: 1, State: state, Why: why}
 }
 
 func (c *ruleCase) check() error {
-	var ws []*standin.Worker
+	var ws []*simtest.Worker
 	for _, id := range []string{"m1", "m2", "m3"} {
 		if w := c.at[id]; w != nil {
 			ws = append(ws, w)
@@ -54,7 +54,7 @@
 func (c *ruleCase) looks(errs *[]error) func(time.Duration) {
 	return func(d time.Duration) {
 		c.now = c.now.Add(d)
-		var ws []*standin.Worker
+		var ws []*simtest.Worker
 		for _, w := range c.at {
 			ws = append(ws, w)
 		}
@@ -69,9 +69,9 @@
 	return c.Told(c.now, given, "job-1", status, state, true)
 }
 
-// TestRulesFire: each check of the rules fires where its rule is broken, and not on
+// TestEachRuleCheckFires: each check of the rules fires where its rule is broken, and not on
 // what comes before.
-func TestRulesFire(t *testing.T) {
+func TestEachRuleCheckFires(t *testing.T) {
 	cases := map[string]func(c *ruleCase) []error{
 		"ran_twice": func(c *ruleCase) []error {
 			c.put(c.worker("m1", "a", true), "job-1/0", wire.TaskRunning, "")
--- a/internal/standin/state.go
+++ b/internal/simtest/state.go
@@ -1,7 +1,7 @@
-// Package standin holds stand-ins for the state service, the cloud and the
+// Package simtest is only for tests. It holds stand-ins for the state service, the cloud and the
 // workers, written after the protocol, a checker of its rules, and a seeded
 // world that plays them against controllers in simulated time. Tests use it.
-package standin
+package simtest
 
 import (
 	"slices"
--- a/internal/standin/users.go
+++ b/internal/simtest/users.go
@@ -1,4 +1,4 @@
-package standin
+package simtest
 
 import (
 	"fmt"
@@ -17,18 +17,18 @@
 			return
 		}
 		w.jobs[j.ID] = j
-		w.order = append(w.order, j)
+		w.submittedJobs = append(w.submittedJobs, j)
 		w.Rules.Submitted(j)
 		w.submit(j)
 		w.poll(j)
 		if cancelAfter > 0 {
-			w.after(cancelAfter, func() { w.callOff(j) })
+			w.after(cancelAfter, func() { w.requestCancellation(j) })
 		}
 	})
 }
 
-// callOff lets a user ask for a job's cancellation until it is answered.
-func (w *World) callOff(j *wire.Job) {
+// requestCancellation lets a user ask for a job's cancellation until it is answered.
+func (w *World) requestCancellation(j *wire.Job) {
 	w.Rules.AskedCancel(j.ID)
 	w.cancel(j)
 }
@@ -55,8 +55,8 @@
 			r.done(v)
 		}
 	}
-	w.at(target, w.between(1, 20), func() {
-		if w.parted(target.zone, "") {
+	w.onNode(target, w.between(1, 20), func() {
+		if w.zonePartitioned(target.zone, "") {
 			return
 		}
 		n := w.leaderFor(target)
@@ -64,9 +64,9 @@
 			w.after(w.between(1, 20), func() { finish(controller.Verdict{Status: 503}) })
 			return
 		}
-		term := n.term
+		term := n.leadership
 		r.send(n, func(v controller.Verdict) {
-			w.at(n, w.between(0, 2), func() {
+			w.onNode(n, w.between(0, 2), func() {
 				if !v.Final() && !term.Authority(w.clock(n)) {
 					v = controller.Verdict{Status: 503}
 				}
@@ -79,7 +79,7 @@
 						w.err = err
 					}
 					finish(v)
-					w.news(r.job, v)
+					w.followUp(r.job, v)
 				})
 			})
 		})
@@ -90,12 +90,12 @@
 // submission is the request to take a job.
 func (w *World) submission(j *wire.Job, done func(controller.Verdict)) request {
 	return request{j, true, func(n *node, then func(controller.Verdict)) {
-		if n.former && len(j.Needs) > 0 {
+		if n.previousVersion && len(j.Needs) > 0 {
 			// As forwarded by a node of a later version.
 			then(controller.Verdict{Status: 503})
 			return
 		}
-		n.picture.Submit(w.clock(n), w.now, j, then)
+		n.controller.Submit(w.clock(n), w.now, j, then)
 	}, done}
 }
 
@@ -110,7 +110,7 @@
 // cancellation is the request to cancel a job.
 func (w *World) cancellation(j *wire.Job, done func(controller.Verdict)) request {
 	return request{j, false, func(n *node, then func(controller.Verdict)) {
-		n.picture.Cancel(w.clock(n), j.ID, then)
+		n.controller.Cancel(w.clock(n), j.ID, then)
 	}, done}
 }
 
@@ -125,38 +125,38 @@
 // question asks for a job's state.
 func (w *World) question(j *wire.Job, done func(controller.Verdict)) request {
 	return request{j, false, func(n *node, then func(controller.Verdict)) {
-		then(n.picture.Query(j.ID))
+		then(n.controller.Query(j.ID))
 	}, done}
 }
 
 func (w *World) poll(j *wire.Job) {
 	w.ask(w.anyNode(), w.question(j, func(controller.Verdict) {
 		pause := w.between(3000, 6000)
-		if w.now.Before(w.stormUntil) {
+		if w.now.Before(w.pollStormUntil) {
 			pause /= 8
-			w.Met["storm poll"]++
+			w.Observed["storm poll"]++
 		}
 		w.after(pause, func() { w.poll(j) })
 	}))
 }
 
 // PollStorm lets users, for a time, ask eight times as often.
-func (w *World) PollStorm(span time.Duration) { w.stormUntil = w.now.Add(span) }
+func (w *World) PollStorm(span time.Duration) { w.pollStormUntil = w.now.Add(span) }
 
-// Mistake makes a job one that fails on every machine.
-func (w *World) Mistake(j *wire.Job) { w.mistaken[j.ID] = true }
+// FailEverywhere makes a job one that fails on every machine.
+func (w *World) FailEverywhere(j *wire.Job) { w.failingJobs[j.ID] = true }
 
-// nobody is who has no use for an answer; the rules are told of it all the same.
-func nobody(controller.Verdict) {}
+// ignoreVerdict is who has no use for an answer; the rules are told of it all the same.
+func ignoreVerdict(controller.Verdict) {}
 
-// CloseLooks lets users, for a time, ask at all nodes within milliseconds of
+// FollowUps lets users, for a time, ask at all nodes within milliseconds of
 // hearing that a job was accepted, done or cancelled, repeat the submission, and
 // call some jobs off right after the acceptance.
-func (w *World) CloseLooks(span time.Duration) { w.looksUntil = w.now.Add(span) }
+func (w *World) FollowUps(span time.Duration) { w.followUpsUntil = w.now.Add(span) }
 
-// news is told of every answer that a user gets.
-func (w *World) news(j *wire.Job, v controller.Verdict) {
-	if v.Status/100 != 2 || !w.now.Before(w.looksUntil) || w.jobs[j.ID] != j {
+// followUp is told of every answer that a user gets.
+func (w *World) followUp(j *wire.Job, v controller.Verdict) {
+	if v.Status/100 != 2 || !w.now.Before(w.followUpsUntil) || w.jobs[j.ID] != j {
 		return
 	}
 	state := v.State
@@ -164,62 +164,62 @@
 		state = wire.JobQueued // accepted
 	}
 	seen := j.ID + " " + state
-	if w.looked[seen] {
+	if w.followedUp[seen] {
 		return
 	}
-	w.looked[seen] = true
-	w.Met["close look"]++
+	w.followedUp[seen] = true
+	w.Observed["close look"]++
 	for range 3 {
 		for _, n := range w.nodes {
-			w.after(w.between(0, 30), func() { w.ask(n, w.question(j, nobody)) })
+			w.after(w.between(0, 30), func() { w.ask(n, w.question(j, ignoreVerdict)) })
 		}
 	}
-	w.after(w.between(0, 10), func() { w.ask(w.anyNode(), w.submission(j, nobody)) })
+	w.after(w.between(0, 10), func() { w.ask(w.anyNode(), w.submission(j, ignoreVerdict)) })
 	if state == wire.JobQueued && w.chance(0.1) {
-		w.callOff(j)
+		w.requestCancellation(j)
 	}
 }
 
-// CancelAtEnd lets users, for a time, call a share of the jobs off at the moment
+// CancelAtCompletion lets users, for a time, call a share of the jobs off at the moment
 // at which their last task ends.
-func (w *World) CancelAtEnd(share float64, span time.Duration) {
+func (w *World) CancelAtCompletion(share float64, span time.Duration) {
 	until := w.now.Add(span)
 	w.Rules.Ended = func(id string) {
 		if w.now.Before(until) && w.chance(share) {
-			w.Met["cancelled at the end"]++
-			w.after(w.between(0, 200), func() { w.callOff(w.jobs[id]) })
+			w.Observed["cancelled at the end"]++
+			w.after(w.between(0, 200), func() { w.requestCancellation(w.jobs[id]) })
 		}
 	}
 }
 
-// CancelNow lets users call off, within a fifth of a second, so many jobs that
+// CancelRunning lets users call off, within a fifth of a second, so many jobs that
 // have tasks on machines; up to eight of these machines hang for a time.
-func (w *World) CancelNow(count int, hang time.Duration) {
+func (w *World) CancelRunning(count int, hang time.Duration) {
 	hung := map[string]bool{}
-	for _, j := range w.order {
+	for _, j := range w.submittedJobs {
 		if count == 0 {
 			return
 		}
 		machines := w.Rules.Holders(j.ID)
-		if len(machines) == 0 || w.Rules.CalledOff(j.ID) {
+		if len(machines) == 0 || w.Rules.CancelRequested(j.ID) {
 			continue
 		}
 		count--
-		w.Met["cancelled while running"]++
-		w.after(w.between(0, 200), func() { w.callOff(j) })
+		w.Observed["cancelled while running"]++
+		w.after(w.between(0, 200), func() { w.requestCancellation(j) })
 		for _, id := range machines {
 			if hang > 0 && len(hung) < 8 && w.workers[id] != nil {
 				hung[id] = true
-				w.workers[id].hung = w.now.Add(hang)
+				w.workers[id].hungUntil = w.now.Add(hang)
 			}
 		}
 	}
 }
 
-// OddRequests lets users, for a time, repeat submissions, cancel jobs that are
+// InvalidRequests lets users, for a time, repeat submissions, cancel jobs that are
 // done, ask for and cancel jobs that nobody submitted, and submit some that can
 // never run.
-func (w *World) OddRequests(span time.Duration) {
+func (w *World) InvalidRequests(span time.Duration) {
 	until := w.now.Add(span)
 	number := 900_000
 	var next func()
@@ -229,7 +229,7 @@
 		}
 		w.after(w.between(100, 700), next)
 		number++
-		w.Met["odd request"]++
+		w.Observed["odd request"]++
 		odd := &wire.Job{
 			ID: fmt.Sprintf("job-%06d", number), Class: "c", Team: "blue", Kind: wire.KindArray,
 			Priority: wire.PriorityNormal, Tasks: 2, CPUs: 1, MemoryGB: 1, Image: "img-0", Spot: true,
@@ -262,13 +262,13 @@
 		case 4:
 			w.ask(w.anyNode(), w.cancellation(odd, only(404)))
 		default:
-			if len(w.order) == 0 {
+			if len(w.submittedJobs) == 0 {
 				return
 			}
-			j := w.order[w.rng.IntN(len(w.order))]
-			w.ask(w.anyNode(), w.submission(j, nobody))
+			j := w.submittedJobs[w.rng.IntN(len(w.submittedJobs))]
+			w.ask(w.anyNode(), w.submission(j, ignoreVerdict))
 			if w.Rules.KnownDone(j.ID) {
-				w.ask(w.anyNode(), w.cancellation(j, nobody))
+				w.ask(w.anyNode(), w.cancellation(j, ignoreVerdict))
 			}
 		}
 	}
--- a/internal/standin/worker.go
+++ b/internal/simtest/worker.go
@@ -1,4 +1,4 @@
-package standin
+package simtest
 
 import (
 	"math/rand/v2"
@@ -31,8 +31,8 @@
 	Jobs    func(id string) *wire.Job // what users uploaded
 	RunTime func(*wire.Job) time.Duration
 	Faulty  bool
-	// Mistaken, if set, tells jobs that fail on every machine.
-	Mistaken func(id string) bool
+	// FailsJob, if set, tells jobs that fail on every machine.
+	FailsJob func(id string) bool
 	Lease    time.Duration
 
 	Session  uint64
@@ -93,7 +93,7 @@
 			switch {
 			case w.Results[t.Name]:
 				t.State, t.Why = wire.TaskExited, wire.WhyDone
-			case w.Faulty, w.Mistaken != nil && w.Mistaken(job.ID):
+			case w.Faulty, w.FailsJob != nil && w.FailsJob(job.ID):
 				t.State, t.Why = wire.TaskExited, wire.WhyError
 			default:
 				t.State, t.At = wire.TaskRunning, now.Add(w.RunTime(job))
--- /dev/null
+++ b/internal/simtest/world_nodes.go
@@ -0,0 +1,291 @@
+package simtest
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/controller"
+	"switchshore.example/switchshore/internal/election"
+	"switchshore.example/switchshore/internal/httpc"
+	"switchshore.example/switchshore/internal/store"
+	"switchshore.example/switchshore/internal/tuning"
+	"switchshore.example/switchshore/wire"
+)
+
+// node is a controller process: the same steps as the real one takes, driven
+// by events.
+type node struct {
+	id                    int
+	name                  string
+	zone                  string
+	drift                 float64
+	incarnation           int // raised by every crash; what belongs to an earlier one is void
+	up                    bool
+	nonce                 uint64
+	controller            *controller.Controller
+	leadership            *election.Leadership
+	lease                 uint64
+	writer                *store.Writer
+	batch                 *controller.Batch
+	stateUnreachableUntil time.Time // no way to the state service until then
+	refusedUntil          time.Time // the state service answers 503 to this node until then
+	frozenUntil           time.Time // stands still until then, while its clocks run on
+	previousVersion       bool      // runs the version before the dependent jobs
+}
+
+// nodeStep campaigns or renews.
+func (w *World) nodeStep(n *node, life int) {
+	if !n.up || n.incarnation != life {
+		return
+	}
+	again := func(d time.Duration) { w.onNode(n, d, func() { w.nodeStep(n, life) }) }
+	if n.leadership != nil {
+		sent := w.clock(n)
+		lease := n.lease
+		w.toState(n, func() error { return w.State.Renew(w.now, lease) }, func(err error) {
+			switch {
+			case n.leadership == nil:
+			case err == nil:
+				n.leadership.Confirm(sent)
+			case errors.Is(err, store.ErrNotFound):
+				w.depose(n)
+			}
+			again(tuning.RenewEvery)
+		})
+		return
+	}
+	var leader, term wire.Item
+	var leaderErr, termErr error
+	w.toState(n, func() error {
+		leader, leaderErr = w.State.Get(store.KeyLeader)
+		term, termErr = w.State.Get(store.KeyTerm)
+		return nil
+	}, func(err error) {
+		if err != nil || errors.Is(leaderErr, store.ErrRefused) || errors.Is(termErr, store.ErrRefused) {
+			again(tuning.CampaignRetry)
+			return
+		}
+		if leaderErr == nil {
+			var rec election.LeaderRecord
+			_ = json.Unmarshal(leader.Value, &rec)
+			if rec.Node != n.name || rec.Nonce == n.nonce {
+				again(w.between(100, 400))
+				return
+			}
+		}
+		w.campaign(n, leader.Version, term, again)
+	})
+}
+
+func (w *World) campaign(n *node, leaderVersion uint64, term wire.Item, again func(time.Duration)) {
+	var rec store.TermRecord
+	_ = json.Unmarshal(term.Value, &rec)
+	sent := w.clock(n)
+	var lease uint64
+	// A campaign may be carried out late, even after its process has ended.
+	n.nonce = w.rng.Uint64()
+	record := election.LeaderRecord{Node: n.name, Nonce: n.nonce}
+	won := func(version uint64) {
+		w.load(n, election.NewLeadership(rec.Term+1, sent), lease, version)
+		again(tuning.RenewEvery)
+	}
+	w.toState(n, func() (err error) {
+		lease, err = w.State.Grant(w.now, tuning.LeaderTTL)
+		return err
+	}, func(err error) {
+		if err != nil {
+			again(tuning.CampaignRetry)
+			return
+		}
+		w.transact(n, election.CampaignTxn(record, rec.Term+1, lease, leaderVersion, term.Version), func(res wire.TxnResult, err error) {
+			switch {
+			case err == nil:
+				won(res.Revision)
+			case errors.Is(err, httpc.ErrNoAnswer):
+				// Settled by reading.
+				var got wire.Item
+				w.toState(n, func() (err error) {
+					got, err = w.State.Get(store.KeyLeader)
+					return err
+				}, func(err error) {
+					var holder election.LeaderRecord
+					if err == nil && json.Unmarshal(got.Value, &holder) == nil && holder == record {
+						won(got.Version)
+						return
+					}
+					again(tuning.CampaignRetry)
+				})
+			default:
+				again(tuning.CampaignRetry)
+			}
+		})
+	})
+}
+
+// load reads everything and starts the term.
+func (w *World) load(n *node, l *election.Leadership, lease, version uint64) {
+	won := w.clock(n)
+	n.leadership, n.lease = l, lease
+	w.toState(n, func() error { return nil }, func(err error) {
+		if n.leadership != l {
+			return
+		}
+		params := w.Params
+		params.State = w.stateLimits(n)
+		p := controller.New(zerolog.Nop(), params, config.Operator{}, l.Term, won, controller.Grace(w.Params.Workers))
+		for _, prefix := range controller.Prefixes {
+			items, listErr := w.State.List(prefix)
+			if listErr != nil || err != nil {
+				w.depose(n)
+				return
+			}
+			for _, item := range items {
+				if n.previousVersion {
+					known := false
+					if item, known = PreviousVersionReads(item); !known {
+						continue
+					}
+				}
+				if err := p.Load(w.clock(n), w.now, item); err != nil {
+					w.err = err
+				}
+			}
+		}
+		p.Loaded(w.clock(n))
+		p.SetTypes([]wire.MachineType{w.Cloud.Type})
+		n.controller = p
+		w.Observed["term"]++
+		n.writer = store.NewWriter(l.Term, version, version)
+		n.batch = nil
+		w.writeLoop(n, p)
+		w.tick(n, p)
+		w.list(n, p)
+		for _, deliver := range w.copiesForNextLeader {
+			for _, at := range w.nodes {
+				w.onNode(at, w.between(0, 50), func() { deliver(at) })
+			}
+		}
+		w.copiesForNextLeader = nil
+	})
+}
+
+// stateLimits are those of the state service that the node's version keeps to.
+func (w *World) stateLimits(n *node) config.State {
+	if n.previousVersion {
+		return w.Params.State
+	}
+	return w.Params.State.Tightest()
+}
+
+func (w *World) depose(n *node) {
+	if n.leadership != nil {
+		n.leadership.End()
+	}
+	if n.controller != nil {
+		n.controller.Stop()
+	}
+	n.leadership, n.controller, n.writer, n.batch = nil, nil, nil, nil
+}
+
+// writeLoop commits the controller's changes one batch after the other.
+func (w *World) writeLoop(n *node, p *controller.Controller) {
+	if n.controller != p {
+		return
+	}
+	if n.batch == nil {
+		if n.batch = p.NextBatch(min(8, w.stateLimits(n).TxnOps-1), w.rng.IntN(5)); n.batch == nil {
+			w.onNode(n, tuning.BatchGap, func() { w.writeLoop(n, p) })
+			return
+		}
+		writes := n.batch.Writes
+		if n.previousVersion {
+			writes = PreviousVersionWrites(writes)
+		}
+		n.writer.Begin(writes)
+	}
+	w.transact(n, n.writer.Txn(), func(res wire.TxnResult, err error) {
+		if n.controller == p {
+			w.outcome(n, p, n.writer.Answer(res, err))
+		}
+	})
+}
+
+func (w *World) outcome(n *node, p *controller.Controller, o store.Outcome) {
+	switch o {
+	case store.Applied:
+		p.Committed(n.batch, n.writer.Refused())
+		n.batch = nil
+		w.writeLoop(n, p)
+	case store.Next:
+		w.writeLoop(n, p)
+	case store.Again:
+		w.onNode(n, tuning.StoreRetry, func() { w.writeLoop(n, p) })
+	case store.Deposed:
+		w.depose(n)
+	case store.Settle:
+		var item wire.Item
+		w.toState(n, func() (err error) {
+			item, err = w.State.Get(store.KeyTerm)
+			return err
+		}, func(err error) {
+			if n.controller == p {
+				w.outcome(n, p, n.writer.Settled(item, err))
+			}
+		})
+	}
+}
+
+// tick lets the controller decide and carries its cloud calls out.
+func (w *World) tick(n *node, p *controller.Controller) {
+	if n.controller != p {
+		return
+	}
+	now := w.clock(n)
+	authority := n.leadership.Authority(now)
+	p.Tick(now, authority)
+	if authority {
+		for _, call := range p.Plan(now) {
+			w.call(n, p, call)
+		}
+		for _, call := range p.Direct(now) {
+			w.direct(n, p, call)
+		}
+	}
+	w.onNode(n, w.between(30, 120), func() { w.tick(n, p) })
+}
+
+// finishUpgrade brings the nodes that still run the previous version back with the
+// present one.
+func (w *World) finishUpgrade() {
+	for _, n := range w.nodes {
+		if n.previousVersion {
+			n.previousVersion = false
+			w.crash(n, time.Second)
+		}
+	}
+}
+
+// RollingUpgrade starts every node with the previous version and, from a time on, ends one
+// after the other, to come back with the present one. It returns when the last
+// has come back.
+func (w *World) RollingUpgrade(from, every time.Duration) time.Duration {
+	down := 4 * time.Second
+	for i, n := range w.nodes {
+		n.previousVersion = true
+		w.after(from+time.Duration(i)*every, func() {
+			n.previousVersion = false
+			w.crash(n, down)
+		})
+	}
+	return from + time.Duration(len(w.nodes))*every + down
+}
+
+// LowerStateLimits lets the state service's limits take effect, those to come after a time.
+func (w *World) LowerStateLimits(after time.Duration) {
+	w.State.Limits = w.Params.State
+	w.after(after, func() { w.State.Limits = w.Params.State.Tightest() })
+}
--- a/internal/standin/world_test.go
+++ b/internal/simtest/world_test.go
@@ -1,4 +1,4 @@
-package standin_test
+package simtest_test
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"time"
 
 	"switchshore.example/switchshore/internal/config"
-	"switchshore.example/switchshore/internal/standin"
+	"switchshore.example/switchshore/internal/simtest"
 	"switchshore.example/switchshore/wire"
 )
 
@@ -54,12 +54,12 @@
 	return j
 }
 
-// play runs one seeded day with troubles of the given kinds, or of all, and
+// playRandomFaults runs one seeded day with faults of the given kinds, or of all, and
 // returns the world.
-func play(t *testing.T, seed uint64, roughness float64, kinds ...standin.Trouble) *standin.World {
+func playRandomFaults(t *testing.T, seed uint64, roughness float64, kinds ...simtest.Fault) *simtest.World {
 	t.Helper()
-	w := standin.NewWorld(seed, 3+2*int(seed%2), params(), machineType)
-	w.Roughness = roughness
+	w := simtest.NewWorld(seed, 3+2*int(seed%2), params(), machineType)
+	w.FaultRate = roughness
 	rng := rand.New(rand.NewPCG(seed, 2))
 	for i := range 25 {
 		cancel := time.Duration(0)
@@ -68,13 +68,13 @@
 		}
 		w.Submit(time.Duration(rng.IntN(200_000))*time.Millisecond, drawJob(rng, i), cancel)
 	}
-	w.Troubles(kinds...)
-	return run(t, w)
+	w.InjectFaults(kinds...)
+	return runToEnd(t, w)
 }
 
-// run plays a day to its end. A rule that breaks, a job that doesn't end once it
+// runToEnd plays a day to its end. A rule that breaks, a job that doesn't end once it
 // is calm, and one about which questions go unanswered fail the test.
-func run(t *testing.T, w *standin.World) *standin.World {
+func runToEnd(t *testing.T, w *simtest.World) *simtest.World {
 	t.Helper()
 	if err := w.Run(1800*time.Second, 300*time.Second); err != nil {
 		t.Fatal(err)
@@ -88,8 +88,8 @@
 	return w
 }
 
-// days plays several seeds side by side.
-func days(t *testing.T, count uint64, play func(t *testing.T, seed uint64)) {
+// eachSeed plays several seeds side by side.
+func eachSeed(t *testing.T, count uint64, play func(t *testing.T, seed uint64)) {
 	for seed := range count {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
@@ -98,29 +98,29 @@
 	}
 }
 
-// TestQuietDays: without troubles every job ends and no rule is broken.
-func TestQuietDays(t *testing.T) {
-	days(t, 6, func(t *testing.T, seed uint64) { play(t, seed, 0) })
+// TestNoFaults: without faults every job ends and no rule is broken.
+func TestNoFaults(t *testing.T) {
+	eachSeed(t, 6, func(t *testing.T, seed uint64) { playRandomFaults(t, seed, 0) })
 }
 
-// TestRoughDays: all kinds of trouble, alone and overlapping.
-func TestRoughDays(t *testing.T) {
-	days(t, 60, func(t *testing.T, seed uint64) { play(t, 100+seed, 1+float64(seed%3)) })
+// TestRandomFaults: all kinds of fault, alone and overlapping.
+func TestRandomFaults(t *testing.T) {
+	eachSeed(t, 60, func(t *testing.T, seed uint64) { playRandomFaults(t, 100+seed, 1+float64(seed%3)) })
 }
 
-// TestDaysOfOneTrouble: the troubles that the users named last, each often and
+// TestSingleFaultKinds: the faults that the users named last, each often and
 // alone, so that a safeguard against it can't hide behind that against another.
-func TestDaysOfOneTrouble(t *testing.T) {
-	for name, kinds := range map[string][]standin.Trouble{
-		"isolated leader": {standin.LeaderIsolated},
-		"frozen leader":   {standin.LeaderFrozen, standin.StateSlow},
-		"zones cut off":   {standin.ZoneCut, standin.NodeCrash},
-		"deaf machines":   {standin.MachineDeaf},
-		"new workers":     {standin.WorkerReplaced, standin.MachineCut},
-		"flapping nodes":  {standin.NodesFlap, standin.NodesCrash},
+func TestSingleFaultKinds(t *testing.T) {
+	for name, kinds := range map[string][]simtest.Fault{
+		"isolated leader": {simtest.LeaderIsolated},
+		"frozen leader":   {simtest.LeaderFrozen, simtest.StateSlow},
+		"zones cut off":   {simtest.ZonePartitioned, simtest.NodeCrash},
+		"deaf machines":   {simtest.MachineAnswersLost},
+		"new workers":     {simtest.WorkerReplaced, simtest.MachinePartitioned},
+		"flapping nodes":  {simtest.NodesFlap, simtest.AllNodesCrash},
 	} {
 		t.Run(name, func(t *testing.T) {
-			days(t, 8, func(t *testing.T, seed uint64) { play(t, 500+seed, 2, kinds...) })
+			eachSeed(t, 8, func(t *testing.T, seed uint64) { playRandomFaults(t, 500+seed, 2, kinds...) })
 		})
 	}
 }
--- a/internal/store/writer_test.go
+++ b/internal/store/writer_test.go
@@ -11,7 +11,7 @@
 
 	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/httpc"
-	"switchshore.example/switchshore/internal/standin"
+	"switchshore.example/switchshore/internal/simtest"
 	"switchshore.example/switchshore/internal/store"
 	"switchshore.example/switchshore/wire"
 )
@@ -21,9 +21,9 @@
 }
 
 // won sets up a state service with a leader of term 1.
-func won(t *testing.T) (*standin.State, *store.Writer) {
+func won(t *testing.T) (*simtest.State, *store.Writer) {
 	t.Helper()
-	s := standin.NewState()
+	s := simtest.NewState()
 	res, err := s.Commit(wire.Txn{Then: []wire.Write{put(store.KeyLeader, "n"), put(store.KeyTerm, "t")}})
 	if err != nil {
 		t.Fatal(err)
@@ -31,9 +31,9 @@
 	return s, store.NewWriter(1, res.Revision, res.Revision)
 }
 
-// TestLateCopyDies: a transaction whose answer was lost is repeated and
+// TestLateTransactionIsRejected: a transaction whose answer was lost is repeated and
 // followed by a newer one; its late copy must not bring the old value back.
-func TestLateCopyDies(t *testing.T) {
+func TestLateTransactionIsRejected(t *testing.T) {
 	s, w := won(t)
 	w.Begin([]wire.Write{put("k", "old")})
 	late := w.Txn()
@@ -77,8 +77,8 @@
 	}
 }
 
-// TestSuccessorEndsWriter: once the leader key has changed no write passes.
-func TestSuccessorEndsWriter(t *testing.T) {
+// TestWriterIsFencedBySuccessor: once the leader key has changed no write passes.
+func TestWriterIsFencedBySuccessor(t *testing.T) {
 	s, w := won(t)
 	if _, err := s.Commit(wire.Txn{Then: []wire.Write{put(store.KeyLeader, "other")}}); err != nil {
 		t.Fatal(err)
@@ -91,7 +91,7 @@
 
 // TestLeaseEndsWithItsKeys: the stand-in itself, on which the days rest.
 func TestLeaseEndsWithItsKeys(t *testing.T) {
-	s := standin.NewState()
+	s := simtest.NewState()
 	now := time.Unix(0, 0)
 	id, _ := s.Grant(now, time.Second)
 	w := put("k", "v")
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -29,7 +29,7 @@
 	// than a few hundred milliseconds, and a second try must fit in.
 	RenewTimeout = 700 * time.Millisecond
 	// CampaignJitter spreads simultaneous campaigns of several nodes a little.
-	// Former versions took up to 60 ms, so that during an upgrade mostly a node
+	// Previous versions took up to 60 ms, so that during an upgrade mostly a node
 	// wins that has been upgraded, and does not end soon.
 	CampaignJitter = 5 * time.Millisecond
 	// CampaignRetry paces campaigns and reads that failed.
@@ -84,13 +84,13 @@
 	// bytes for every three ("10000-10001,").
 	DoneChunk     = 1024
 	DoneTaskBytes = 4
-	// ChainPart is the part of a transaction (one over it) that final states
+	// DependentWritesPart is the part of a transaction (one over it) that final states
 	// which follow from those of other jobs may always take: thousands of them
 	// must neither wait for ever nor hold up what users wait for.
-	ChainPart = 4
-	// ChainSteps bounds the jobs that one look lets go on, cancels or weighs
+	DependentWritesPart = 4
+	// DependencySteps bounds the jobs that one look lets go on, cancels or weighs
 	// after others have ended: about a millisecond of work.
-	ChainSteps = 500
+	DependencySteps = 500
 	// DoneFlush lets completions of one job gather before they are written:
 	// the worker keeps its memory of them until then, so nothing is lost by it,
 	// and many jobs of short tasks are over by then.
@@ -196,10 +196,10 @@
 	// FaultyJobs is the number of different jobs whose tasks must fail on a
 	// machine in a row before the machine is taken for faulty and drained.
 	FaultyJobs = 2
-	// MistakenOn is the number of machines on which a job must have failed, and ended
+	// FailsEverywhereMachines is the number of machines on which a job must have failed, and ended
 	// on none, to be taken for one that fails everywhere: hardly two machines that it
 	// tries are faulty.
-	MistakenOn = 2
+	FailsEverywhereMachines = 2
 	// EstimateWeight is the weight of a new observation in the per-class
 	// ratio of run time to estimate.
 	EstimateWeight = 0.05
@@ -282,22 +282,22 @@
 	// SilentReports is how many report intervals without a report make a
 	// machine silent: no new starts there.
 	SilentReports = 2.5
-	// HeardShare is the part of the machines outside a silent zone that must be
+	// ReachableShare is the part of the machines outside a silent zone that must be
 	// heard for silence to be taken for the machines' own: hardly more than a
 	// tenth fail at once, but a new leader with all reports waiting misses many.
-	HeardShare = 0.75
-	// DarkShare is the part of a zone's machines that may still be heard, and
+	ReachableShare = 0.75
+	// PartitionedShare is the part of a zone's machines that may still be heard, and
 	// DarkMachines the number that must be missed, for the zone to be taken for
 	// cut off: far more than fail by chance.
-	DarkShare    = 0.25
-	DarkMachines = 4
-	// UnheededAnswers is the number of answers in a row whose starts had no
+	PartitionedShare    = 0.25
+	PartitionedMachines = 4
+	// IgnoredAnswers is the number of answers in a row whose starts had no
 	// effect after which a machine takes no more work: one may be lost.
-	UnheededAnswers = 3
-	// Strangers is the number of reports older than the newest, with none
+	IgnoredAnswers = 3
+	// StaleReports is the number of reports older than the newest, with none
 	// newer between them, that a machine whose lease is over may send before
 	// it is replaced: a few late copies come after every cut.
-	Strangers = 3
+	StaleReports = 3
 	// LateReports is how many report intervals without a report make the next
 	// machine list urgent.
 	LateReports = 1.5
@@ -377,8 +377,8 @@
 
 // Peers.
 const (
-	// BeatEvery paces the beats between nodes.
-	BeatEvery = 400 * time.Millisecond
+	// HeartbeatInterval paces the heartbeats between nodes.
+	HeartbeatInterval = 400 * time.Millisecond
 	// PeerSilence is how long a silent peer still counts as reachable.
 	PeerSilence = 1500 * time.Millisecond
 	// PeerRedial paces dials.
--- a/wire/validate.go
+++ b/wire/validate.go
@@ -55,106 +55,162 @@
 	return true
 }
 
-// ParseJob decodes and checks a submission; any error means 400.
-func ParseJob(body []byte) (*Job, error) {
-	var f *jobFields
-	if err := json.Unmarshal(body, &f); err != nil {
-		return nil, fmt.Errorf("malformed: %w", err)
+// FieldError is a field of a submission that is missing or invalid.
+type FieldError struct {
+	Field  string
+	Reason string
+}
+
+func (e *FieldError) Error() string { return "field " + e.Field + ": " + e.Reason }
+
+// fieldReader reads the fields of a submission and keeps the first error.
+type fieldReader struct {
+	err *FieldError
+}
+
+func (r *fieldReader) fail(field, reason string) {
+	if r.err == nil {
+		r.err = &FieldError{field, reason}
 	}
-	if f == nil {
-		return nil, errors.New("malformed: not an object")
+}
+
+func (r *fieldReader) text(field string, value *string) string {
+	if value == nil || *value == "" {
+		r.fail(field, "missing")
+		return ""
 	}
-	var bad error
-	fail := func(name, what string) {
-		if bad == nil {
-			bad = fmt.Errorf("field %s: %s", name, what)
-		}
+	return *value
+}
+
+func (r *fieldReader) flag(field string, value *bool) bool {
+	if value == nil {
+		r.fail(field, "missing")
+		return false
 	}
-	text := func(name string, p *string) string {
-		if p == nil || *p == "" {
-			fail(name, "missing")
-			return ""
-		}
-		return *p
+	return *value
+}
+
+// number reads an amount that is not negative.
+func (r *fieldReader) number(field string, value *float64) float64 {
+	if value == nil {
+		r.fail(field, "missing")
+		return 0
 	}
-	flag := func(name string, p *bool) bool {
-		if p == nil {
-			fail(name, "missing")
-			return false
-		}
-		return *p
+	if *value < 0 || math.IsInf(*value, 0) || math.IsNaN(*value) {
+		r.fail(field, "must not be negative")
 	}
-	number := func(name string, p *float64, positive bool) float64 {
-		switch {
-		case p == nil:
-			fail(name, "missing")
-			return 0
-		case *p < 0 || math.IsInf(*p, 0) || math.IsNaN(*p):
-			fail(name, "must not be negative")
-		case positive && *p == 0:
-			fail(name, "must be above zero")
-		}
-		return *p
+	return *value
+}
+
+// positive reads an amount above zero.
+func (r *fieldReader) positive(field string, value *float64) float64 {
+	n := r.number(field, value)
+	if value != nil && n == 0 {
+		r.fail(field, "must be above zero")
 	}
-	j := &Job{
-		ID:          text("ref", f.ID),
-		Class:       text("muster", f.Class),
-		Team:        text("crew", f.Team),
-		Kind:        text("rig", f.Kind),
-		Priority:    text("rank", f.Priority),
-		CPUs:        number("cores", f.CPUs, true),
-		GPUs:        number("cards", f.GPUs, false),
-		MemoryGB:    number("memoryGb", f.MemoryGB, false),
-		Image:       text("hull", f.Image),
-		ImageGB:     number("imageGb", f.ImageGB, false),
-		OneZone:     flag("together", f.OneZone),
-		Spread:      flag("apart", f.Spread),
-		Spot:        flag("driftwood", f.Spot),
-		EstimateS:   number("reckonS", f.EstimateS, false),
-		CheckpointS: number("loglineS", f.CheckpointS, false),
-		SaveS:       number("stowS", f.SaveS, false),
-	}
-	if bad == nil && !ValidID(j.ID) {
-		fail("ref", "not a job id")
-	}
-	if f.Tasks == nil {
-		fail("oars", "missing")
-	} else if j.Tasks = *f.Tasks; j.Tasks < 1 || j.Tasks > MaxTasks {
-		fail("oars", "out of range")
+	return n
+}
+
+func (r *fieldReader) tasks(field string, value *int) int {
+	if value == nil {
+		r.fail(field, "missing")
+		return 0
 	}
-	if j.Kind != KindArray {
-		fail("rig", "unknown")
+	if *value < 1 || *value > MaxTasks {
+		r.fail(field, "out of range")
 	}
-	if Level(j.Priority) < 0 {
-		fail("rank", "unknown")
+	return *value
+}
+
+// optional reads a text that may be left out, but not empty.
+func (r *fieldReader) optional(field string, value *string) string {
+	if value == nil {
+		return ""
 	}
-	if f.Types != nil {
-		j.Types = *f.Types
-		if len(j.Types) == 0 {
-			fail("builds", "empty")
-		}
+	if *value == "" {
+		r.fail(field, "empty")
 	}
-	if f.Zone != nil {
-		if j.Zone = *f.Zone; j.Zone == "" {
-			fail("berth", "empty")
-		}
+	return *value
+}
+
+func (r *fieldReader) types(field string, value *[]string) []string {
+	if value == nil {
+		return nil
 	}
-	if f.DeadlineS != nil {
-		d := number("tideS", f.DeadlineS, false)
-		j.DeadlineS = &d
+	if len(*value) == 0 {
+		r.fail(field, "empty")
 	}
-	named := map[string]bool{}
-	for _, need := range f.Needs {
+	return *value
+}
+
+func (r *fieldReader) deadline(field string, value *float64) *float64 {
+	if value == nil {
+		return nil
+	}
+	seconds := r.number(field, value)
+	return &seconds
+}
+
+// distinct reads a list of texts, each of them once.
+func (r *fieldReader) distinct(field string, values []*string) []string {
+	var list []string
+	seen := map[string]bool{}
+	for _, value := range values {
 		switch {
-		case need == nil:
-			fail("awaits", "not a list of strings")
-		case !named[*need]:
-			named[*need] = true
-			j.Needs = append(j.Needs, *need)
+		case value == nil:
+			r.fail(field, "not a list of strings")
+		case !seen[*value]:
+			seen[*value] = true
+			list = append(list, *value)
 		}
 	}
-	if bad != nil {
-		return nil, bad
+	return list
+}
+
+// ParseJob decodes and checks a submission; any error means 400.
+func ParseJob(body []byte) (*Job, error) {
+	var f *jobFields
+	if err := json.Unmarshal(body, &f); err != nil {
+		return nil, fmt.Errorf("malformed: %w", err)
+	}
+	if f == nil {
+		return nil, errors.New("malformed: not an object")
+	}
+	var r fieldReader
+	j := &Job{
+		ID:          r.text("ref", f.ID),
+		Class:       r.text("muster", f.Class),
+		Team:        r.text("crew", f.Team),
+		Kind:        r.text("rig", f.Kind),
+		Priority:    r.text("rank", f.Priority),
+		CPUs:        r.positive("cores", f.CPUs),
+		GPUs:        r.number("cards", f.GPUs),
+		MemoryGB:    r.number("memoryGb", f.MemoryGB),
+		Image:       r.text("hull", f.Image),
+		ImageGB:     r.number("imageGb", f.ImageGB),
+		OneZone:     r.flag("together", f.OneZone),
+		Spread:      r.flag("apart", f.Spread),
+		Spot:        r.flag("driftwood", f.Spot),
+		EstimateS:   r.number("reckonS", f.EstimateS),
+		CheckpointS: r.number("loglineS", f.CheckpointS),
+		SaveS:       r.number("stowS", f.SaveS),
+		Tasks:       r.tasks("oars", f.Tasks),
+		Types:       r.types("builds", f.Types),
+		Zone:        r.optional("berth", f.Zone),
+		DeadlineS:   r.deadline("tideS", f.DeadlineS),
+		Needs:       r.distinct("awaits", f.Needs),
+	}
+	if !ValidID(j.ID) {
+		r.fail("ref", "not a job id")
+	}
+	if j.Kind != KindArray {
+		r.fail("rig", "unknown")
+	}
+	if Level(j.Priority) < 0 {
+		r.fail("rank", "unknown")
+	}
+	if r.err != nil {
+		return nil, r.err
 	}
 	return j, nil
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -42,7 +42,7 @@
 // Final reports whether a job in this state remains in it.
 func Final(state string) bool { return state == JobDone || state == JobCancelled }
 
-// Job kinds.
+// KindArray is the only kind of job that is accepted: independent tasks.
 const KindArray = "batch"
 
 // Priorities, highest first.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// TestNeeds: repeats count once, and a job that needs none is the same as ever.
-func TestNeeds(t *testing.T) {
+// TestDependencies: repeats count once, and a job that needs none is the same as ever.
+func TestDependencies(t *testing.T) {
 	want, _ := wire.ParseJob([]byte(submission))
 	plain, _ := json.Marshal(want)
 	for awaits, needs := range map[string][]string{`null`: nil, `[]`: nil, `["job-2","job-1","job-2"]`: {"job-2", "job-1"}} {
