Settings: errors name file and field, also in the XML file; no infinite times; planner and list in small functions

A value of the operators' file that is no number was reported without its field, and no error named the file. Times without end were accepted. TestErrorsNameTheFile, and a case more in TestErrorsNameTheField.

--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"net"
+)
+
+// FieldError is a setting that is missing or wrong.
+type FieldError struct {
+	Field  string
+	Reason string
+}
+
+func (e *FieldError) Error() string { return "field " + e.Field + ": " + e.Reason }
+
+// checker keeps the first error of the settings that it looks at.
+type checker struct {
+	err error
+}
+
+func (c *checker) need(ok bool, field, reason string) {
+	if !ok && c.err == nil {
+		c.err = &FieldError{field, reason}
+	}
+}
+
+func (c *checker) addr(value, field string) {
+	if value == "" {
+		c.need(false, field, "missing")
+		return
+	}
+	host, _, err := net.SplitHostPort(value)
+	c.need(err == nil && net.ParseIP(host) != nil, field, "must be an IP address with a port")
+}
+
+func (c *checker) positive(value float64, field string) {
+	c.need(value > 0, field, "must be above zero")
+	c.need(!math.IsInf(value, 0), field, "must be finite")
+}
+
+// check returns the first setting that is missing or wrong.
+func (c *Config) check() error {
+	var k checker
+	k.need(c.Name != "", "label", "missing")
+	k.need(c.Zone != "", "domain", "missing")
+	k.addr(c.Listen, "client_listen")
+	k.addr(c.PeerListen, "peer_bind")
+	for i, p := range c.Peers {
+		k.need(p.Name != "" && p.Name != c.Name, fmt.Sprintf("peers[%d].label", i), "missing or this node's own")
+		k.addr(p.Addr, fmt.Sprintf("peers[%d].addr", i))
+	}
+	k.addr(c.Services.Cloud, "services.cloud")
+	k.addr(c.Services.State, "services.state")
+	c.Params.check(&k)
+	return k.err
+}
+
+func (p *Params) check(k *checker) {
+	checkTeams(k, p.Teams)
+	k.positive(p.Workers.ReportS, "facts.workers.report_s")
+	k.positive(p.Workers.LeaseS, "facts.workers.lease_s")
+	k.positive(p.Workers.CancelS, "facts.workers.cancel_s")
+	k.need(p.Workers.CancelS > p.Workers.LeaseS, "facts.workers.cancel_s", "must be above lease_s")
+	p.State.check(k, "facts.state")
+	p.State.Tightest().check(k, "facts.state.next")
+	k.positive(p.Cloud.RPS, "facts.cloud.rps")
+	k.need(p.Cloud.ListLagS >= 0 && !math.IsInf(p.Cloud.ListLagS, 0), "facts.cloud.list_lag_s", "must not be negative")
+	k.need(p.Limits.MemoryMB >= 0, "facts.resources.memory_mb", "must not be negative")
+	k.need(p.Limits.MaxConnections >= 0, "facts.resources.fd_limit", "must not be negative")
+}
+
+func checkTeams(k *checker, teams []Team) {
+	k.need(len(teams) > 0, "facts.teams", "missing")
+	seen := map[string]bool{}
+	for i, t := range teams {
+		k.need(t.Name != "" && !seen[t.Name], fmt.Sprintf("facts.teams[%d].name", i), "missing or twice")
+		k.need(t.CPUs >= 0 && t.GPUs >= 0, fmt.Sprintf("facts.teams[%d].cpus", i), "must not be negative")
+		k.need(t.CPUsMax >= 0 && t.GPUsMax >= 0, fmt.Sprintf("facts.teams[%d].cpus_max", i), "must not be negative")
+		seen[t.Name] = true
+	}
+}
+
+func (s State) check(k *checker, table string) {
+	k.positive(s.RPS, table+".rps")
+	k.positive(s.WriteRPS, table+".write_rps")
+	k.need(s.ValueKB >= 1, table+".value_kb", "must be at least 1")
+	k.need(s.TxnOps >= 4, table+".txn_ops", "must be at least 4")
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,13 +3,10 @@
 package config
 
 import (
-	"bytes"
-	"encoding/xml"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"os"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -133,7 +130,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	return Parse(data)
+	c, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return c, nil
 }
 
 // Parse decodes and checks settings; unknown fields are ignored.
@@ -143,120 +144,13 @@
 		var decode *toml.DecodeError
 		if errors.As(err, &decode) {
 			row, column := decode.Position()
-			return nil, fmt.Errorf("settings: line %d, column %d: field %v: %s", row, column, decode.Key(), decode.Error())
+			return nil, fmt.Errorf("line %d, column %d: field %s: %s", row, column, strings.Join(decode.Key(), "."), decode.Error())
 		}
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, err
 	}
 	if err := c.check(); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, err
 	}
 	c.Params.State = c.Params.State.Tightest()
 	return c, nil
 }
-
-func (c *Config) check() error {
-	var bad []error
-	need := func(ok bool, field, what string) {
-		if !ok {
-			bad = append(bad, fmt.Errorf("field %s: %s", field, what))
-		}
-	}
-	addr := func(value, field string) {
-		if value == "" {
-			need(false, field, "missing")
-			return
-		}
-		host, _, err := net.SplitHostPort(value)
-		need(err == nil && net.ParseIP(host) != nil, field, "must be an IP address with a port")
-	}
-	positive := func(value float64, field string) { need(value > 0, field, "must be above zero") }
-
-	need(c.Name != "", "label", "missing")
-	need(c.Zone != "", "domain", "missing")
-	addr(c.Listen, "client_listen")
-	addr(c.PeerListen, "peer_bind")
-	for i, p := range c.Peers {
-		need(p.Name != "" && p.Name != c.Name, fmt.Sprintf("peers[%d].label", i), "missing or this node's own")
-		addr(p.Addr, fmt.Sprintf("peers[%d].addr", i))
-	}
-	addr(c.Services.Cloud, "services.cloud")
-	addr(c.Services.State, "services.state")
-	p := &c.Params
-	need(len(p.Teams) > 0, "facts.teams", "missing")
-	seen := map[string]bool{}
-	for i, t := range p.Teams {
-		need(t.Name != "" && !seen[t.Name], fmt.Sprintf("facts.teams[%d].name", i), "missing or twice")
-		need(t.CPUs >= 0 && t.GPUs >= 0, fmt.Sprintf("facts.teams[%d].cpus", i), "must not be negative")
-		need(t.CPUsMax >= 0 && t.GPUsMax >= 0, fmt.Sprintf("facts.teams[%d].cpus_max", i), "must not be negative")
-		seen[t.Name] = true
-	}
-	positive(p.Workers.ReportS, "facts.workers.report_s")
-	positive(p.Workers.LeaseS, "facts.workers.lease_s")
-	need(p.Workers.CancelS > p.Workers.LeaseS, "facts.workers.cancel_s", "must be above lease_s")
-	for _, limits := range []struct {
-		State
-		field string
-	}{{p.State, "facts.state"}, {p.State.Tightest(), "facts.state.next"}} {
-		positive(limits.RPS, limits.field+".rps")
-		positive(limits.WriteRPS, limits.field+".write_rps")
-		need(limits.ValueKB >= 1, limits.field+".value_kb", "must be at least 1")
-		need(limits.TxnOps >= 4, limits.field+".txn_ops", "must be at least 4")
-	}
-	positive(p.Cloud.RPS, "facts.cloud.rps")
-	need(p.Cloud.ListLagS >= 0, "facts.cloud.list_lag_s", "must not be negative")
-	need(p.Limits.MemoryMB >= 0, "facts.resources.memory_mb", "must not be negative")
-	need(p.Limits.MaxConnections >= 0, "facts.resources.fd_limit", "must not be negative")
-	if len(bad) > 0 {
-		return bad[0]
-	}
-	return nil
-}
-
-// Operator is the operators' own settings. The zero value of a field means
-// the default.
-type Operator struct {
-	XMLName xml.Name `xml:"switchshore"`
-	// MaxMachines caps the machines rented at once, 0 for no cap.
-	MaxMachines int `xml:"machines>max"`
-	// KeepIdleS overrides how long an idle machine is kept, in seconds.
-	KeepIdleS float64 `xml:"machines>keepIdleSeconds"`
-	// HorizonS overrides the planning horizon, in seconds.
-	HorizonS float64 `xml:"machines>planHorizonSeconds"`
-}
-
-// LoadOperator reads the operators' file; an empty path gives the defaults.
-func LoadOperator(path string) (*Operator, error) {
-	if path == "" {
-		return &Operator{}, nil
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("operator settings: %w", err)
-	}
-	return ParseOperator(data)
-}
-
-// ParseOperator decodes and checks the operators' file.
-func ParseOperator(data []byte) (*Operator, error) {
-	o := &Operator{}
-	d := xml.NewDecoder(bytes.NewReader(data))
-	if err := d.Decode(o); err != nil {
-		if errors.Is(err, io.EOF) {
-			err = errors.New("no switchshore element")
-		}
-		return nil, fmt.Errorf("operator settings: %w", err)
-	}
-	for _, f := range []struct {
-		name  string
-		value float64
-	}{
-		{"machines/max", float64(o.MaxMachines)},
-		{"machines/keepIdleSeconds", o.KeepIdleS},
-		{"machines/planHorizonSeconds", o.HorizonS},
-	} {
-		if !(f.value >= 0) {
-			return nil, fmt.Errorf("operator settings: field %s: must not be negative", f.name)
-		}
-	}
-	return o, nil
-}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,8 @@
 package config_test
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -69,6 +71,7 @@
 		{`txn_ops = 48`, `txn_ops = "many"`, "txn_ops"},
 		{`write_rps = 80.0`, ``, "facts.state.write_rps"},
 		{`rps = 8.0`, `rps = -1.0`, "facts.cloud.rps"},
+		{`report_s = 3.0`, `report_s = inf`, "facts.workers.report_s"},
 	} {
 		_, err := config.Parse([]byte(strings.Replace(settings, c[0], c[1], 1)))
 		if err == nil || !strings.Contains(err.Error(), c[2]) || strings.Contains(err.Error(), "\n") {
@@ -89,6 +92,34 @@
 	}
 }
 
+// TestErrorsNameTheFile: an error says which of the two files is wrong, and the field.
+func TestErrorsNameTheFile(t *testing.T) {
+	write := func(name, text string) string {
+		path := filepath.Join(t.TempDir(), name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	check := func(path, field string, err error) {
+		t.Helper()
+		if err == nil || !strings.Contains(err.Error(), path) || !strings.Contains(err.Error(), field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s of %s: %v", field, path, err)
+		}
+	}
+	path := write("settings.toml", strings.Replace(settings, "lease_s = 17.0", "lease_s = -1.0", 1))
+	_, err := config.Load(path)
+	check(path, "facts.workers.lease_s", err)
+	for field, value := range map[string]string{"max": "1.5", "keepIdleSeconds": "soon", "planHorizonSeconds": "-1"} {
+		path := write("operator.xml", "<switchshore><machines><"+field+">"+value+"</"+field+"></machines></switchshore>")
+		_, err := config.LoadOperator(path)
+		check(path, "machines/"+field, err)
+	}
+	missing := filepath.Join(t.TempDir(), "missing")
+	_, err = config.Load(missing)
+	check(missing, "", err)
+}
+
 // TestUpcomingStateLimits: both sets of limits hold at all times; without the table, or
 // a field of it, nothing changes.
 func TestUpcomingStateLimits(t *testing.T) {
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,91 @@
+package config
+
+import (
+	"bytes"
+	"encoding/xml"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"strconv"
+	"strings"
+)
+
+// Operator is the operators' own settings. The zero value of a field means
+// the default.
+type Operator struct {
+	// MaxMachines caps the machines rented at once, 0 for no cap.
+	MaxMachines int
+	// KeepIdleS overrides how long an idle machine is kept, in seconds.
+	KeepIdleS float64
+	// HorizonS overrides the planning horizon, in seconds.
+	HorizonS float64
+}
+
+// operatorFile is the file as it is written; a field left out is empty.
+type operatorFile struct {
+	XMLName     xml.Name `xml:"switchshore"`
+	MaxMachines string   `xml:"machines>max"`
+	KeepIdleS   string   `xml:"machines>keepIdleSeconds"`
+	HorizonS    string   `xml:"machines>planHorizonSeconds"`
+}
+
+// LoadOperator reads the operators' file; an empty path gives the defaults.
+func LoadOperator(path string) (*Operator, error) {
+	if path == "" {
+		return &Operator{}, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("operator settings: %w", err)
+	}
+	o, err := ParseOperator(data)
+	if err != nil {
+		return nil, fmt.Errorf("operator settings %s: %w", path, err)
+	}
+	return o, nil
+}
+
+// ParseOperator decodes and checks the operators' file.
+func ParseOperator(data []byte) (*Operator, error) {
+	var file operatorFile
+	if err := xml.NewDecoder(bytes.NewReader(data)).Decode(&file); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = errors.New("no switchshore element")
+		}
+		return nil, err
+	}
+	o := &Operator{}
+	max, err := amount("machines/max", file.MaxMachines)
+	if err != nil {
+		return nil, err
+	}
+	if max != math.Trunc(max) || max > math.MaxInt32 {
+		return nil, &FieldError{"machines/max", "must be a whole number"}
+	}
+	o.MaxMachines = int(max)
+	if o.KeepIdleS, err = amount("machines/keepIdleSeconds", file.KeepIdleS); err != nil {
+		return nil, err
+	}
+	if o.HorizonS, err = amount("machines/planHorizonSeconds", file.HorizonS); err != nil {
+		return nil, err
+	}
+	return o, nil
+}
+
+// amount reads a number that is not negative, 0 if there is none.
+func amount(field, text string) (float64, error) {
+	text = strings.TrimSpace(text)
+	if text == "" {
+		return 0, nil
+	}
+	value, err := strconv.ParseFloat(text, 64)
+	switch {
+	case err != nil || math.IsNaN(value) || math.IsInf(value, 0):
+		return 0, &FieldError{field, "not a number"}
+	case value < 0:
+		return 0, &FieldError{field, "must not be negative"}
+	}
+	return value, nil
+}
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -304,48 +304,58 @@
 // Listed takes in a complete machine list, asked for at the given time.
 func (c *Controller) Listed(asked, now time.Time, list []wire.ListedMachine) {
 	c.listsApplied++
-	there := make(map[string]bool, len(list))
+	listed := make(map[string]bool, len(list))
 	for _, row := range list {
-		there[row.Name] = true
-		if c.released[row.Name] {
-			continue
-		}
-		m := c.machines[row.Name]
-		if m == nil {
-			m = c.addMachine(asked, row.Name, row.Type, row.Zone, row.Addr, row.Spot)
-		}
-		// What a predecessor rented is older than this term: a successor that
-		// took it for new kept idle machines through its minimum bill again.
-		if at := asked.Add(-seconds(row.AgeS)); at.Before(m.rentedAt) {
-			m.rentedAt = at
-		}
-		if m.addr == "" {
-			m.addr = row.Addr
-		}
-		if m.listedAt.IsZero() {
-			m.listedAt = now
-		}
-		m.missing = 0
-		if row.State == wire.MachineFailed {
-			m.failed = true
+		listed[row.Name] = true
+		if !c.released[row.Name] {
+			c.applyListed(asked, now, row)
 		}
 	}
+	if gone := c.missingLongEnough(asked, listed); len(gone) > 0 {
+		c.remove(now, gone)
+	}
+}
+
+// applyListed applies one row of a machine list.
+func (c *Controller) applyListed(asked, now time.Time, row wire.ListedMachine) {
+	m := c.machines[row.Name]
+	if m == nil {
+		m = c.addMachine(asked, row.Name, row.Type, row.Zone, row.Addr, row.Spot)
+	}
+	// What a predecessor rented is older than this term: a successor that
+	// took it for new kept idle machines through its minimum bill again.
+	if at := asked.Add(-seconds(row.AgeS)); at.Before(m.rentedAt) {
+		m.rentedAt = at
+	}
+	if m.addr == "" {
+		m.addr = row.Addr
+	}
+	if m.listedAt.IsZero() {
+		m.listedAt = now
+	}
+	m.missing = 0
+	if row.State == wire.MachineFailed {
+		m.failed = true
+	}
+}
+
+// missingLongEnough counts the machines that a list lacks, and names those that are
+// provably gone. A machine stays listed until it is gone, and a list is at most twice
+// its lag old: one asked for later than that after a machine was first listed
+// describes a time at which it had been listed.
+func (c *Controller) missingLongEnough(asked time.Time, listed map[string]bool) []string {
 	var gone []string
 	lag := seconds(c.params.Cloud.ListLagS * (1 + tuning.ClockDrift) * 2)
 	for _, m := range c.machinesByName {
-		if there[m.id] || m.listedAt.IsZero() && !m.recorded {
+		if listed[m.id] || m.listedAt.IsZero() && !m.recorded {
 			continue
 		}
 		m.missing++
-		// A machine stays listed until it is gone, and a list is at most twice
-		// its lag old: this one describes a time at which it had been listed.
 		if !m.listedAt.IsZero() && asked.Sub(m.listedAt) > lag {
 			gone = append(gone, m.id)
 		}
 	}
-	if len(gone) > 0 {
-		c.remove(now, gone)
-	}
+	return gone
 }
 
 // Silent reports whether machines that were heard of have fallen silent: the
--- a/internal/provision/provision.go
+++ b/internal/provision/provision.go
@@ -98,66 +98,102 @@
 	return n
 }
 
-// Make plans. It fills the demand, the most pressing first, into the machines
+// planner is a plan in the making.
+type planner struct {
+	in     Input
+	plan   Plan
+	types  map[string]wire.MachineType
+	offers []priced
+	bins   []bin
+	count  int // machines, those to be rented included
+}
+
+// Make plans. It fills the demand, the most urgent first, into the machines
 // there are, up to what they can begin within the horizon, and rents the
 // cheapest offer for the rest.
 func Make(in Input) Plan {
-	plan := Plan{Rent: map[Offer]int{}}
-	types := map[string]wire.MachineType{}
+	p := newPlanner(in)
+	openCPUs, freeCPUs := p.openCPUs()
+	sort.SliceStable(in.Demand, func(i, k int) bool { return in.Demand[i].HorizonS < in.Demand[k].HorizonS })
+	for _, d := range in.Demand {
+		p.meet(d)
+	}
+	p.in.steady(&p.plan, openCPUs, freeCPUs, p.count, p.offers, p.types)
+	// At several hundred machines something is rented nearly always, somewhere:
+	// machines that the demand has no use for go back all the same.
+	p.plan.Return = surplus(in, p.bins, openCPUs)
+	return p.plan
+}
+
+func newPlanner(in Input) *planner {
+	p := &planner{
+		in: in, plan: Plan{Rent: map[Offer]int{}}, types: map[string]wire.MachineType{},
+		offers: offersByPrice(in.Types), bins: make([]bin, 0, len(in.Machines)), count: len(in.Machines),
+	}
 	for _, t := range in.Types {
-		types[t.Name] = t
+		p.types[t.Name] = t
 	}
-	bins := make([]bin, 0, len(in.Machines))
-	openCPUs, freeCPUs := 0.0, 0.0
 	for _, m := range in.Machines {
-		bins = append(bins, bin{id: m.ID, offer: m.Offer, total: m.Total, free: m.Free, busyS: m.BusyS, readyS: m.ReadyInS, open: m.Open})
-		if m.Open {
-			openCPUs += m.Total.CPUs
-			if m.ReadyInS == 0 {
-				freeCPUs += m.Free.CPUs
-			}
+		p.bins = append(p.bins, bin{id: m.ID, offer: m.Offer, total: m.Total, free: m.Free, busyS: m.BusyS, readyS: m.ReadyInS, open: m.Open})
+	}
+	return p
+}
+
+// openCPUs are the CPUs of the machines that take work, and those free now.
+func (p *planner) openCPUs() (open, free float64) {
+	for _, m := range p.in.Machines {
+		if !m.Open {
+			continue
+		}
+		open += m.Total.CPUs
+		if m.ReadyInS == 0 {
+			free += m.Free.CPUs
 		}
 	}
-	offers := offersByPrice(in.Types)
-	count := len(in.Machines)
-	sort.SliceStable(in.Demand, func(i, k int) bool { return in.Demand[i].HorizonS < in.Demand[k].HorizonS })
-	for _, d := range in.Demand {
-		tasks := d.Tasks
-		fill := func(horizonS float64) {
-			for i := range bins {
-				b := &bins[i]
-				if tasks > 0 && b.open && !d.Avoid[b.id] && allowed(d, b.offer) && b.total.Fits(d.Need) {
-					tasks -= b.take(d, tasks, horizonS)
-				}
-			}
+	return open, free
+}
+
+// meet gives the demand what the machines can begin in time, and rents for the rest.
+func (p *planner) meet(d Demand) {
+	tasks := p.fill(d, d.Tasks, d.HorizonS)
+	waited := false
+	for tasks > 0 && (p.in.MaxMachines == 0 || p.count < p.in.MaxMachines) {
+		o, price, ok := cheapest(p.offers, d, p.types, p.in.Refused, p.plan.Rent)
+		if !ok {
+			return
 		}
-		fill(d.HorizonS)
-		waited := false
-		for tasks > 0 && (in.MaxMachines == 0 || count < in.MaxMachines) {
-			o, price, ok := cheapest(offers, d, types, in.Refused, plan.Rent)
-			if !ok {
-				break
-			}
-			if price > offers[0].price && !waited {
-				// The dearer the offer, the longer the work waits for the
-				// machines there are.
-				waited = true
-				fill(d.HorizonS * math.Sqrt(price/offers[0].price))
-				continue
-			}
-			t := total(types[o.Type])
-			b := bin{offer: o, total: t, free: t, open: true}
-			tasks -= max(1, b.take(d, tasks, d.HorizonS))
-			bins = append(bins, b)
-			plan.Rent[o]++
-			count++
+		if price > p.offers[0].price && !waited {
+			// The dearer the offer, the longer the work waits for the
+			// machines there are.
+			waited = true
+			tasks = p.fill(d, tasks, d.HorizonS*math.Sqrt(price/p.offers[0].price))
+			continue
 		}
+		tasks -= p.rent(o, d, tasks)
 	}
-	in.steady(&plan, openCPUs, freeCPUs, count, offers, types)
-	// At several hundred machines something is rented nearly always, somewhere:
-	// machines that the demand has no use for go back all the same.
-	plan.Return = surplus(in, bins, openCPUs)
-	return plan
+}
+
+// fill gives the machines what they can begin of the tasks within the horizon, and
+// returns how many are left.
+func (p *planner) fill(d Demand, tasks int, horizonS float64) int {
+	for i := range p.bins {
+		b := &p.bins[i]
+		if tasks > 0 && b.open && !d.Avoid[b.id] && allowed(d, b.offer) && b.total.Fits(d.Need) {
+			tasks -= b.take(d, tasks, horizonS)
+		}
+	}
+	return tasks
+}
+
+// rent adds one machine, and returns for how many of the tasks it is.
+func (p *planner) rent(o Offer, d Demand, tasks int) int {
+	size := total(p.types[o.Type])
+	b := bin{offer: o, total: size, free: size, open: true}
+	taken := max(1, b.take(d, tasks, d.HorizonS))
+	p.bins = append(p.bins, b)
+	p.plan.Rent[o]++
+	p.count++
+	return taken
 }
 
 // steady rents for the work that keeps coming: while work waits that finds no
