--- a/internal/controller/failures.go
+++ b/internal/controller/failures.go
@@ -6,7 +6,7 @@
 
 // Whose fault a failure is shows only by where else the job fails or ends. A job that
 // has failed on several machines, and ended on none, is taken for one submitted with a
-// mistake: no machine gets a bad name by it. Once a task of it ends somewhere, the
+// mistake: no machine is quarantined for it. Once a task of it ends somewhere, the
 // machines where it failed are to blame. One on which several jobs failed in a row is
 // faulty.
 
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -156,7 +156,7 @@
 				if j.done.Has(i) {
 					return
 				}
-				former := j.claims[int32(i)]
+				earlier := j.claims[int32(i)]
 				a := &attempt{state: possiblyStarted, orderedAt: now, record: log}
 				log.live++
 				c.hold(m, j, int32(i), a)
@@ -164,9 +164,9 @@
 					j.claims = map[int32]*attempt{}
 				}
 				j.claims[int32(i)] = a
-				if former != nil {
+				if earlier != nil {
 					// It was started again since, so it had left that place.
-					c.drop(now, former)
+					c.drop(now, earlier)
 				}
 			})
 			if err != nil {
--- a/internal/simtest/faults.go
+++ b/internal/simtest/faults.go
@@ -145,7 +145,7 @@
 func (w *World) injectMachineFault(kind Fault, m *worker, span time.Duration) {
 	switch kind {
 	case MachinePartitioned:
-		m.cutUntil = w.now.Add(span)
+		m.partitionedUntil = w.now.Add(span)
 	case MachineAnswersLost:
 		m.answersLostUntil = w.now.Add(2 * span)
 	case MachineHangs:
@@ -239,15 +239,15 @@
 // PartitionHolders cuts a share of the machines that tasks are on, at least one, off
 // from everything.
 func (w *World) PartitionHolders(share float64, span time.Duration) {
-	w.eachHolder(share, "holder cut", func(m *worker) { m.cutUntil = w.now.Add(span) })
+	w.eachHolder(share, HolderPartitioned, func(m *worker) { m.partitionedUntil = w.now.Add(span) })
 }
 
 // DropAnswersToHolders lets the reports of such machines arrive, and nothing get back.
 func (w *World) DropAnswersToHolders(share float64, span time.Duration) {
-	w.eachHolder(share, "holder deaf", func(m *worker) { m.answersLostUntil = w.now.Add(span) })
+	w.eachHolder(share, HolderAnswersLost, func(m *worker) { m.answersLostUntil = w.now.Add(span) })
 }
 
-func (w *World) eachHolder(share float64, what string, do func(*worker)) {
+func (w *World) eachHolder(share float64, what Observation, do func(*worker)) {
 	first := true
 	for _, id := range w.workerNames() {
 		if w.Rules.Holds(id) && (first || w.chance(share)) {
--- a/internal/simtest/operations_faults_test.go
+++ b/internal/simtest/operations_faults_test.go
@@ -19,7 +19,7 @@
 		submitRandomJobs(w, seed, 25, 120*second, 0.3, nil)
 		w.At(40*second, func() { w.FollowUps(150 * second) })
 		w.At(60*second, func() { w.CrashAll(70 * second) })
-	}, []string{"second term", "close look"}},
+	}, []simtest.Observation{simtest.SecondTerm, simtest.FollowUpQuery}},
 	{"a leader stands still", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 30, 150*second, 0.3, nil)
 		w.At(30*second, func() { w.FollowUps(200 * second) })
@@ -27,17 +27,17 @@
 			w.At(time.Duration(40+40*i)*second, func() { w.Inject(simtest.LeaderFrozen, span*second) })
 			w.At(time.Duration(40+40*i)*second, func() { w.CancelRunning(2, 0) })
 		}
-	}, []string{"second term", "close look", "cancelled while running"}},
+	}, []simtest.Observation{simtest.SecondTerm, simtest.FollowUpQuery, simtest.CancelledWhileRunning}},
 	{"machines late or never up", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 30, 120*second, 0.1, nil)
 		w.At(0, func() { w.BootTrouble(150 * second) })
 		w.At(50*second, func() { w.CrashLeader(second) })
-	}, []string{"second term"}},
+	}, []simtest.Observation{simtest.SecondTerm}},
 	{"a storm of questions", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 30, 120*second, 0.2, nil)
 		w.At(30*second, func() { w.PollStorm(120 * second) })
 		w.At(60*second, func() { w.CrashLeader(second) })
-	}, []string{"second term", "storm poll"}},
+	}, []simtest.Observation{simtest.SecondTerm, simtest.StormPoll}},
 	{"guests", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 20, 120*second, 0.1, nil)
 		rng := rand.New(rand.NewPCG(seed, 6))
@@ -52,7 +52,7 @@
 		huge.Team, huge.Priority, huge.Tasks, huge.CPUs = "guests", wire.PriorityNormal, 400, 0.5
 		w.Submit(50*second, huge, 0)
 		w.At(70*second, func() { w.CrashLeader(second) })
-	}, []string{"second term"}},
+	}, []simtest.Observation{simtest.SecondTerm}},
 	{"jobs that fail on every machine", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 25, 120*second, 0, nil)
 		rng := rand.New(rand.NewPCG(seed, 7))
@@ -62,7 +62,7 @@
 			w.Submit(time.Duration(rng.IntN(60_000))*time.Millisecond, j, 250*second)
 		}
 		w.At(60*second, func() { w.CrashLeader(second) })
-	}, []string{"second term", "cancellation"}},
+	}, []simtest.Observation{simtest.SecondTerm, simtest.CancellationConfirmed}},
 }
 
 // TestOperationsFaults: the rules hold, no job waits where it could start, and all that was
--- a/internal/simtest/overlapping_faults_test.go
+++ b/internal/simtest/overlapping_faults_test.go
@@ -51,7 +51,7 @@
 type faultScenario struct {
 	name     string
 	inject   func(w *simtest.World, seed uint64)
-	observed []string // what must have happened for the day to count
+	observed []simtest.Observation // what must have happened for the day to count
 }
 
 // overlapping faults are those that the operators named, in the order of docs/overlapping faults.md.
@@ -61,26 +61,26 @@
 		submitRandomJobs(w, seed, 40, 120*second, 0.3, nil)
 		w.At(0, func() { w.FollowUps(200 * second) })
 		w.At(60*second, func() { w.CrashLeader(second / 2) })
-	}, []string{"close look", "cancellation"}},
+	}, []simtest.Observation{simtest.FollowUpQuery, simtest.CancellationConfirmed}},
 	{"02 an old report after newer ones", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 25, 150*second, 0.2, nil)
 		w.At(0, func() { w.Inject(simtest.ReportsDuplicatedLate, 200*second) })
 		w.At(20*second, func() { w.InjectFaults(simtest.MachinePartitioned, simtest.MachineHangs, simtest.MachineAnswersLost) })
-	}, []string{"stale copy"}},
+	}, []simtest.Observation{simtest.StaleCopy}},
 	{"03 a command is held up and the machine goes on", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 25, 150*second, 0.4, nil)
 		w.InjectFaults(simtest.MachineHangs, simtest.MachinePartitioned, simtest.RunningJobsCancelled)
-	}, []string{"cancelled while running"}},
+	}, []simtest.Observation{simtest.CancelledWhileRunning}},
 	{"04 all controllers away for longer than a lease", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 25, 120*second, 0.3, longRunning)
 		w.At(50*second, func() { w.CancelRunning(3, 0) })
 		w.At(51*second, func() { w.CrashAll(25 * second) })
-	}, []string{"cancelled while running", "second term"}},
+	}, []simtest.Observation{simtest.CancelledWhileRunning, simtest.SecondTerm}},
 	{"05 an isolated leader, cancellations at the new one", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 25, 120*second, 0.2, longRunning)
 		w.At(50*second, func() { w.Inject(simtest.LeaderIsolated, 60*second) })
 		w.At(54*second, func() { w.CancelRunning(5, 0) })
-	}, []string{"cancelled while running", "answered in grace", "second term"}},
+	}, []simtest.Observation{simtest.CancelledWhileRunning, simtest.AnsweredInGrace, simtest.SecondTerm}},
 	{"06 handing over and back, all end, one returns", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 30, 120*second, 0.3, nil)
 		for i := range 4 {
@@ -88,18 +88,18 @@
 		}
 		w.At(65*second, func() { w.CrashAll(300 * time.Millisecond) })
 		w.At(65*second+400*time.Millisecond, func() { w.CrashAll(700 * time.Millisecond) })
-	}, []string{"second term"}},
+	}, []simtest.Observation{simtest.SecondTerm}},
 	{"07 one-task jobs, four a second", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 480, 120*second, 0.25, shortSingleTask)
 		w.At(50*second, func() { w.CrashLeader(second) })
 		w.At(0, func() { w.CancelAtCompletion(0.1, 120*second) })
-	}, []string{"cancelled at the end", "second term"}},
+	}, []simtest.Observation{simtest.CancelledAtEnd, simtest.SecondTerm}},
 	{"08 carried out at once, only the answer is lost", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 30, 150*second, 0.4, nil)
 		w.At(0, func() { w.Inject(simtest.AnswersToWritesLost, 200*second) })
 		w.At(0, func() { w.FollowUps(200 * second) })
 		w.At(60*second, func() { w.Inject(simtest.LeaderStateUnreachable, 10*second) })
-	}, []string{"answer lost", "close look", "cancellation"}},
+	}, []simtest.Observation{simtest.WriteAnswerLost, simtest.FollowUpQuery, simtest.CancellationConfirmed}},
 	{"09 jobs of two or three tasks end far apart", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 30, 100*second, 0.2, func(rng *rand.Rand, j *wire.Job) {
 			j.Tasks, j.Spread, j.EstimateS = 2+rng.IntN(2), false, 5+60*rng.Float64()
@@ -107,25 +107,25 @@
 		for _, at := range []time.Duration{30, 60, 90, 120} {
 			w.At(at*second, func() { w.CrashLeader(second) })
 		}
-	}, []string{"second term"}},
+	}, []simtest.Observation{simtest.SecondTerm}},
 	{"10 a slow state service, then the gap", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 25, 120*second, 0.3, longRunning)
 		w.At(30*second, func() { w.Inject(simtest.StateSlow, 25*second) })
 		w.At(40*second, func() { w.FollowUps(60 * second) })
 		w.At(60*second, func() { w.Inject(simtest.OutageAfterCancellation, 0) })
-	}, []string{"cancelled while running", "answered in grace"}},
+	}, []simtest.Observation{simtest.CancelledWhileRunning, simtest.AnsweredInGrace}},
 	{"11 a report is held back until a new leader has acted", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 25, 120*second, 0.2, nil)
 		w.At(20*second, func() { w.Inject(simtest.ReportsReplayedToNextLeader, 100*second) })
 		w.At(50*second, func() { w.Inject(simtest.ReportsDuplicatedLate, 60*second) })
 		w.At(60*second, func() { w.CrashLeader(second) })
 		w.At(90*second, func() { w.CrashLeader(second) })
-	}, []string{"copy first heard", "second term"}},
+	}, []simtest.Observation{simtest.CopyApplied, simtest.SecondTerm}},
 	{"12 a transaction is carried out after newer ones", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 30, 150*second, 0.3, nil)
 		w.At(0, func() { w.Inject(simtest.WritesLate, 200*second) })
 		w.At(70*second, func() { w.CrashLeader(second) })
-	}, []string{"late transaction", "cancellation"}},
+	}, []simtest.Observation{simtest.LateTransaction, simtest.CancellationConfirmed}},
 	{"13 an old report reaches every controller as a leader begins", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 30, 150*second, 0.2, nil)
 		w.At(10*second, func() { w.Inject(simtest.ReportsReplayedToNextLeader, 150*second) })
@@ -133,17 +133,17 @@
 			w.At(at*second, func() { w.CrashLeader(second / 2) })
 		}
 		w.At(80*second, func() { w.InjectFaults(simtest.MachineHangs, simtest.MachinePartitioned) })
-	}, []string{"copy first heard", "second term"}},
+	}, []simtest.Observation{simtest.CopyApplied, simtest.SecondTerm}},
 	{"14 a cancellation meets the end of the last task", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 40, 150*second, 0, nil)
 		w.At(0, func() { w.CancelAtCompletion(0.7, 300*second) })
 		w.At(0, func() { w.FollowUps(300 * second) })
 		w.At(0, func() { w.InvalidRequests(200 * second) })
-	}, []string{"cancelled at the end", "close look", "odd request"}},
+	}, []simtest.Observation{simtest.CancelledAtEnd, simtest.FollowUpQuery, simtest.InvalidRequest}},
 	{"15 mute workers that direct commands reach", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 25, 150*second, 0.3, nil)
 		w.InjectFaults(simtest.MachineReportsLost, simtest.MachineReportsLost, simtest.RunningJobsCancelled)
-	}, []string{"report lost"}},
+	}, []simtest.Observation{simtest.ReportLost}},
 	{"16 cancelled as the state service refuses the leader alone", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 25, 100*second, 0, longRunning)
 		w.At(60*second, func() { w.Inject(simtest.LeaderRefused, 14*second) })
@@ -151,17 +151,17 @@
 		w.At(60*second-time.Duration(seed%4)*50*time.Millisecond, func() { w.CancelRunning(3, 0) })
 		w.At(62*second+time.Duration(seed%5)*100*time.Millisecond, func() { w.CancelRunning(3, 0) })
 		w.At(63*second, func() { w.Inject(simtest.StateOutage, 65*second) })
-	}, []string{"cancelled while running", "answered in grace"}},
+	}, []simtest.Observation{simtest.CancelledWhileRunning, simtest.AnsweredInGrace}},
 	{"17 more work than room over slow links", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 45, 100*second, 0.2, nil)
 		w.At(20*second, func() { w.SlowLinks(120 * second) })
 		w.At(60*second, func() { w.CrashLeader(second) })
-	}, []string{"second term"}},
+	}, []simtest.Observation{simtest.SecondTerm}},
 	{"18 a zone with workers and a controller is cut off", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 25, 120*second, 0.2, longRunning)
 		w.At(50*second, func() { w.Inject(simtest.ZonePartitioned, 40*second) })
 		w.At(55*second, func() { w.CancelRunning(4, 0) })
-	}, []string{"cancelled while running"}},
+	}, []simtest.Observation{simtest.CancelledWhileRunning}},
 	{"19 machines up at once, writes lag, the leader ends", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 25, 60*second, 0.2, nil)
 		w.At(0, func() { w.Inject(simtest.FastBoots, 200*second) })
@@ -169,7 +169,7 @@
 		for i := range 6 {
 			w.At(time.Duration(15+9*i)*second+time.Duration(seed%9)*second, func() { w.CrashLeader(second / 2) })
 		}
-	}, []string{"second term"}},
+	}, []simtest.Observation{simtest.SecondTerm}},
 	{"20 jobs of one zone lose machines", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 25, 120*second, 0.1, func(rng *rand.Rand, j *wire.Job) {
 			j.OneZone, j.Spread = rng.IntN(2) == 0, false
@@ -178,7 +178,7 @@
 			}
 		})
 		w.InjectFaults(simtest.MachineDies, simtest.SpotReclaimed, simtest.MachineDies, simtest.ZonePartitioned)
-	}, []string{"term"}},
+	}, []simtest.Observation{simtest.TermBegan}},
 	{"21 cancelled while the work changes hands", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 40, 120*second, 0.1, nil)
 		for i := range 5 {
@@ -188,26 +188,26 @@
 				w.At(at+time.Duration(k)*700*time.Millisecond-300*time.Millisecond, func() { w.CancelRunning(1, 0) })
 			}
 		}
-	}, []string{"cancelled while running", "second term"}},
+	}, []simtest.Observation{simtest.CancelledWhileRunning, simtest.SecondTerm}},
 	{"22 the leader ends, machines with long tasks can't be reached", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 25, 100*second, 0, longRunning)
 		w.At(60*second, func() { w.PartitionHolders(0.3, 40*second) })
 		w.At(60*second, func() { w.DropAnswersToHolders(0.3, 60*second) })
 		w.At(61*second, func() { w.CrashLeader(second) })
 		w.At(66*second, func() { w.CancelRunning(4, 0) })
-	}, []string{"cancelled while running", "holder cut", "holder deaf", "second term"}},
+	}, []simtest.Observation{simtest.CancelledWhileRunning, simtest.HolderPartitioned, simtest.HolderAnswersLost, simtest.SecondTerm}},
 	{"23 a team at its limit, machines that can't be asked, a new leader", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 25, 60*second, 0, atTeamLimit)
 		w.At(60*second, func() { w.PartitionHolders(0.4, 25*second) })
 		w.At(62*second, func() { w.CrashLeader(second) })
 		w.At(65*second, func() { w.CancelRunning(3, 0) })
 		w.At(70*second, func() { w.CancelRunning(3, 0) })
-	}, []string{"cancelled while running", "holder cut", "second term"}},
+	}, []simtest.Observation{simtest.CancelledWhileRunning, simtest.HolderPartitioned, simtest.SecondTerm}},
 	{"24 ten leaders in two minutes, also within an outage", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 25, 150*second, 0.3, nil)
 		w.At(30*second, func() { w.Inject(simtest.Successions, 0) })
 		w.At(70*second, func() { w.Inject(simtest.StateOutage, 30*second) })
-	}, []string{"fifth term", "cancellation"}},
+	}, []simtest.Observation{simtest.FifthTerm, simtest.CancellationConfirmed}},
 	{"25 all teams at their limits, cancelled on machines that hang", func(w *simtest.World, seed uint64) {
 		submitRandomJobs(w, seed, 30, 60*second, 0, atTeamLimit)
 		w.At(60*second, func() { w.CancelRunning(5, 20*second) })
@@ -215,7 +215,7 @@
 		w.At(62*second, func() { w.CrashLeader(second) })
 		w.At(80*second, func() { w.CancelRunning(5, 12*second) })
 		w.At(81*second, func() { w.Inject(simtest.LeaderFrozen, 6*second) })
-	}, []string{"cancelled while running", "holder cut", "second term"}},
+	}, []simtest.Observation{simtest.CancelledWhileRunning, simtest.HolderPartitioned, simtest.SecondTerm}},
 }
 
 // TestOverlappingFaults: the rules hold wherever two of the faults that the operators
@@ -239,11 +239,11 @@
 }
 
 // checkObserved fails the test unless all of it has happened.
-func checkObserved(t *testing.T, w *simtest.World, met []string) {
+func checkObserved(t *testing.T, w *simtest.World, met []simtest.Observation) {
 	t.Helper()
-	w.Observed["cancellation"] = w.Rules.Cancelled()
-	w.Observed["second term"] = max(0, w.Observed["term"]-1)
-	w.Observed["fifth term"] = max(0, w.Observed["term"]-4)
+	w.Observed[simtest.CancellationConfirmed] = w.Rules.Cancelled()
+	w.Observed[simtest.SecondTerm] = max(0, w.Observed[simtest.TermBegan]-1)
+	w.Observed[simtest.FifthTerm] = max(0, w.Observed[simtest.TermBegan]-4)
 	for _, what := range met {
 		if w.Observed[what] == 0 {
 			t.Errorf("no %s came about: %v", what, w.Observed)
@@ -261,28 +261,28 @@
 	variants := []struct {
 		name string
 		day  func(w *simtest.World)
-		met  []string
+		met  []simtest.Observation
 	}{
 		{"refused", func(w *simtest.World) {
 			w.At(70*second, func() { w.Inject(simtest.OutageAfterCancellation, 0) })
-		}, []string{"answered in grace", "second term"}},
+		}, []simtest.Observation{simtest.AnsweredInGrace, simtest.SecondTerm}},
 		{"isolated, machines deaf", func(w *simtest.World) {
 			w.At(66*second, func() { w.DropAnswersToHolders(0.3, 60*second) })
 			w.At(70*second, func() { w.Inject(simtest.LeaderIsolated, 60*second) })
 			w.At(70*second, func() { w.Inject(simtest.OutageAfterCancellation, 0) })
-		}, []string{"holder deaf", "second term"}},
+		}, []simtest.Observation{simtest.HolderAnswersLost, simtest.SecondTerm}},
 		{"frozen, machines hang", func(w *simtest.World) {
 			w.At(70*second, func() { w.Inject(simtest.LeaderFrozen, 14*second) })
 			w.At(74*second, func() { w.CancelRunning(4, 12*second) })
 			w.At(75*second, func() { w.Inject(simtest.StateOutage, 65*second) })
-		}, []string{"second term"}},
+		}, []simtest.Observation{simtest.SecondTerm}},
 		{"restarted at once", func(w *simtest.World) {
 			w.At(70*second, func() { w.Inject(simtest.LeaderRefused, 4*second) })
 			w.At(73*second, func() { w.CancelRunning(3, 0) })
 			w.At(73*second+300*time.Millisecond, func() { w.CrashLeader(200 * time.Millisecond) })
 			w.At(75*second, func() { w.CancelRunning(3, 0) })
 			w.At(76*second, func() { w.Inject(simtest.StateOutage, 65*second) })
-		}, []string{"second term"}},
+		}, []simtest.Observation{simtest.SecondTerm}},
 	}
 	for _, cancel := range []float64{45, 32, 21, 18} {
 		for _, v := range variants {
@@ -298,8 +298,8 @@
 					submitRandomJobs(w, seed, 25, 60*second, 0, shape)
 					v.day(w)
 					runToEnd(t, w)
-					met := append([]string{"cancelled while running", "cancellation"}, v.met...)
-					if controller.Grace(p.Workers) < 5*second && v.met[0] == "answered in grace" {
+					met := append([]simtest.Observation{simtest.CancelledWhileRunning, simtest.CancellationConfirmed}, v.met...)
+					if controller.Grace(p.Workers) < 5*second && v.met[0] == simtest.AnsweredInGrace {
 						met = append(met[:2], v.met[1:]...) // hardly any room for a grace
 					}
 					checkObserved(t, w, met)
--- a/internal/simtest/users.go
+++ b/internal/simtest/users.go
@@ -134,7 +134,7 @@
 		pause := w.between(3000, 6000)
 		if w.now.Before(w.pollStormUntil) {
 			pause /= 8
-			w.Observed["storm poll"]++
+			w.Observed[StormPoll]++
 		}
 		w.after(pause, func() { w.poll(j) })
 	}))
@@ -168,7 +168,7 @@
 		return
 	}
 	w.followedUp[seen] = true
-	w.Observed["close look"]++
+	w.Observed[FollowUpQuery]++
 	for range 3 {
 		for _, n := range w.nodes {
 			w.after(w.between(0, 30), func() { w.ask(n, w.question(j, ignoreVerdict)) })
@@ -186,7 +186,7 @@
 	until := w.now.Add(span)
 	w.Rules.Ended = func(id string) {
 		if w.now.Before(until) && w.chance(share) {
-			w.Observed["cancelled at the end"]++
+			w.Observed[CancelledAtEnd]++
 			w.after(w.between(0, 200), func() { w.requestCancellation(w.jobs[id]) })
 		}
 	}
@@ -205,7 +205,7 @@
 			continue
 		}
 		count--
-		w.Observed["cancelled while running"]++
+		w.Observed[CancelledWhileRunning]++
 		w.after(w.between(0, 200), func() { w.requestCancellation(j) })
 		for _, id := range machines {
 			if hang > 0 && len(hung) < 8 && w.workers[id] != nil {
@@ -229,7 +229,7 @@
 		}
 		w.after(w.between(100, 700), next)
 		number++
-		w.Observed["odd request"]++
+		w.Observed[InvalidRequest]++
 		odd := &wire.Job{
 			ID: fmt.Sprintf("job-%06d", number), Class: "c", Team: "blue", Kind: wire.KindArray,
 			Priority: wire.PriorityNormal, Tasks: 2, CPUs: 1, MemoryGB: 1, Image: "img-0", Spot: true,
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -51,7 +51,7 @@
 	slowLinksUntil time.Time
 	// Observed counts what has happened, by name: a test of a overlap of faults that did not
 	// come about would show nothing.
-	Observed map[string]int
+	Observed map[Observation]int
 }
 
 // longestFaultTail is how long the last faults may outlast the end of fault injection.
@@ -73,7 +73,7 @@
 		partitionedPairs: map[[2]int]bool{},
 		followedUp:       map[string]bool{},
 		failingJobs:      map[string]bool{},
-		Observed:         map[string]int{},
+		Observed:         map[Observation]int{},
 	}
 	for i := range nodes {
 		n := &node{id: i, name: fmt.Sprintf("node-%d", i), zone: t.Zones[i%len(t.Zones)], up: true, drift: (w.rng.Float64() - 0.5) * 0.001}
--- a/internal/simtest/world_machines.go
+++ b/internal/simtest/world_machines.go
@@ -14,7 +14,7 @@
 	inFlight         bool
 	lastSent         time.Time
 	nextAt           time.Time
-	cutUntil         time.Time
+	partitionedUntil time.Time
 	answersLostUntil time.Time // its reports arrive, answers and commands don't
 	reportsLostUntil time.Time // it reaches no controller, direct commands reach it
 	hungUntil        time.Time
@@ -96,12 +96,12 @@
 	switch {
 	case m == nil:
 		done(tuning.DirectTimeout, controller.DirectNever, nil)
-	case w.zonePartitioned(n.zone, m.Offer.Zone) || w.now.Before(m.cutUntil) || w.now.Before(m.answersLostUntil) || w.now.Before(m.hungUntil) || w.faultsAllowed() && w.chance(0.05):
+	case w.zonePartitioned(n.zone, m.Offer.Zone) || w.now.Before(m.partitionedUntil) || w.now.Before(m.answersLostUntil) || w.now.Before(m.hungUntil) || w.faultsAllowed() && w.chance(0.05):
 		if w.chance(0.3) {
 			done(tuning.DirectTimeout, controller.DirectNever, nil)
 			return
 		}
-		late := max(m.cutUntil.Sub(w.now), m.answersLostUntil.Sub(w.now), m.hungUntil.Sub(w.now), w.partitionedZoneUntil.Sub(w.now), 0) + w.between(0, 60_000)
+		late := max(m.partitionedUntil.Sub(w.now), m.answersLostUntil.Sub(w.now), m.hungUntil.Sub(w.now), w.partitionedZoneUntil.Sub(w.now), 0) + w.between(0, 60_000)
 		w.after(late, func() { deliver(true) })
 		done(tuning.DirectTimeout, controller.DirectUnknown, nil)
 	default:
--- a/internal/simtest/world_nodes.go
+++ b/internal/simtest/world_nodes.go
@@ -158,7 +158,7 @@
 		p.Loaded(w.clock(n))
 		p.SetTypes([]wire.MachineType{w.Cloud.Type})
 		n.controller = p
-		w.Observed["term"]++
+		w.Observed[TermBegan]++
 		n.writer = store.NewWriter(l.Term, version, version)
 		n.batch = nil
 		w.writeLoop(n, p)
--- a/internal/simtest/world_reports.go
+++ b/internal/simtest/world_reports.go
@@ -19,7 +19,7 @@
 		return
 	}
 	if w.now.Before(m.reportsLostUntil) {
-		w.Observed["report lost"]++
+		w.Observed[ReportLost]++
 		w.tryNextNode(m)
 		return
 	}
@@ -51,9 +51,9 @@
 	s.after(4*time.Second, s.giveUp)
 	deliver := func() { s.deliver(target, target, false) }
 	zone := s.worker.Offer.Zone
-	if parted := s.zonePartitioned(target.zone, zone); parted || s.now.Before(s.worker.cutUntil) {
-		until := s.worker.cutUntil
-		if parted {
+	if partitioned := s.zonePartitioned(target.zone, zone); partitioned || s.now.Before(s.worker.partitionedUntil) {
+		until := s.worker.partitionedUntil
+		if partitioned {
 			until = s.partitionedZoneUntil
 		}
 		if s.chance(0.5) {
@@ -105,18 +105,18 @@
 func (s *sentReport) observe(outcome controller.ReportOutcome, authority, copied bool) {
 	switch {
 	case copied && outcome == controller.ReportStale:
-		s.Observed["stale copy"]++
+		s.Observed[StaleCopy]++
 	case copied:
-		s.Observed["copy first heard"]++
+		s.Observed[CopyApplied]++
 	case !authority && outcome == controller.ReportApplied:
-		s.Observed["answered in grace"]++
+		s.Observed[AnsweredInGrace]++
 	}
 }
 
 // answer brings the answer back to the worker, if it still waits and can be reached.
 func (s *sentReport) answer(target *node, a wire.ReportAnswer) {
 	m := s.worker
-	unreachable := s.zonePartitioned(target.zone, m.Offer.Zone) || s.now.Before(m.cutUntil) || s.now.Before(m.answersLostUntil) || s.now.Before(m.hungUntil)
+	unreachable := s.zonePartitioned(target.zone, m.Offer.Zone) || s.now.Before(m.partitionedUntil) || s.now.Before(m.answersLostUntil) || s.now.Before(m.hungUntil)
 	if s.answered || m.gone || unreachable {
 		return
 	}
--- a/internal/simtest/world_state.go
+++ b/internal/simtest/world_state.go
@@ -65,11 +65,11 @@
 	w.toState(n, func() (err error) {
 		switch {
 		case w.affects(w.writesLost):
-			w.Observed["answer lost"]++
+			w.Observed[WriteAnswerLost]++
 			_, _ = w.State.Commit(txn)
 			return httpc.ErrNoAnswer
 		case w.affects(w.writesLate):
-			w.Observed["late transaction"]++
+			w.Observed[LateTransaction]++
 			w.after(w.between(2000, 12_000), func() { _, _ = w.State.Commit(txn) })
 			return httpc.ErrNoAnswer
 		}
