--- a/internal/controller/upgrade_test.go
+++ b/internal/controller/upgrade_test.go
@@ -83,15 +83,15 @@
 		}
 		now := start.Add(time.Minute)
 		for term := uint64(8); !want.Full(); term++ {
-			former := rng.IntN(2) == 0 && want.Len() < 2900
+			previous := rng.IntN(2) == 0 && want.Len() < 2900
 			var l *leader
-			if former {
+			if previous {
 				l = previousVersionLeader(t, term, now, kept)
 			} else {
 				l = newLeader(t, term, now, kept)
 			}
 			if v := l.Query("job-1"); v.Done != want.Len() {
-				t.Fatalf("seed %d, term %d, former %v: %d done, want %d", seed, term, former, v.Done, want.Len())
+				t.Fatalf("seed %d, term %d, previous %v: %d done, want %d", seed, term, previous, v.Done, want.Len())
 			}
 			var list []wire.TaskReport
 			for range 150 {
@@ -106,7 +106,7 @@
 			}
 			l.report("m9", 1, list...)
 			l.pass(2 * time.Second)
-			if former {
+			if previous {
 				l.previousVersionCommit()
 			} else {
 				l.commit()
@@ -176,21 +176,21 @@
 		}
 	}
 	before := slices.Sorted(maps.Keys(l.kept))
-	former := previousVersionLeader(t, 6, l.now, l.kept)
+	previous := previousVersionLeader(t, 6, l.now, l.kept)
 	for range 2 {
-		former.report("m1", 1)
-		former.pass(time.Second)
-		former.previousVersionCommit()
+		previous.report("m1", 1)
+		previous.pass(time.Second)
+		previous.previousVersionCommit()
 	}
-	if got := former.Counts().Held; got != 1 {
+	if got := previous.Counts().Held; got != 1 {
 		t.Errorf("%d tasks placed, want that of job-1", got)
 	}
-	if former.state("job-2") != wire.JobQueued || former.state("job-3") != wire.JobQueued {
+	if previous.state("job-2") != wire.JobQueued || previous.state("job-3") != wire.JobQueued {
 		t.Error("not known")
 	}
-	former.Cancel(former.now, "job-2", func(controller.Verdict) {})
-	former.previousVersionCommit()
-	next := newLeader(t, 7, former.now, l.kept)
+	previous.Cancel(previous.now, "job-2", func(controller.Verdict) {})
+	previous.previousVersionCommit()
+	next := newLeader(t, 7, previous.now, l.kept)
 	if next.state("job-2") != wire.JobCancelled || next.state("job-3") != wire.JobQueued {
 		t.Errorf("job-2 %s, job-3 %s, of %v", next.state("job-2"), next.state("job-3"), before)
 	}
--- a/internal/simtest/operations_faults_test.go
+++ b/internal/simtest/operations_faults_test.go
@@ -63,6 +63,55 @@
 		}
 		w.At(60*second, func() { w.CrashLeader(second) })
 	}, []simtest.Observation{simtest.SecondTerm, simtest.CancellationConfirmed}},
+	{"controllers silent and frozen, machines late or unheard", func(w *simtest.World, seed uint64) {
+		submitRandomJobs(w, seed, 30, 150*second, 0.2, nil)
+		w.At(0, func() { w.BootTrouble(150 * second) })
+		w.At(50*second, func() { w.InjectFaults(simtest.MachineReportsLost) })
+		w.At(60*second, func() { w.CrashAll(65 * second) })
+		w.At(160*second, func() { w.Inject(simtest.LeaderFrozen, 30*second) })
+		w.At(163*second, func() { w.CancelRunning(4, 15*second) })
+	}, []simtest.Observation{simtest.SecondTerm, simtest.ReportLost, simtest.CancelledWhileRunning}},
+	{"a storm of questions in successions", func(w *simtest.World, seed uint64) {
+		submitRandomJobs(w, seed, 30, 150*second, 0.2, nil)
+		w.At(30*second, func() { w.PollStorm(150 * second) })
+		w.At(30*second, func() { w.FollowUps(150 * second) })
+		w.At(30*second, func() { w.CancelAtCompletion(0.3, 150*second) })
+		w.At(30*second, func() { w.Inject(simtest.ReportsReplayedToNextLeader, 120*second) })
+		for i := range 6 {
+			w.At(time.Duration(40+17*i)*second, func() { w.CrashLeader(second / 2) })
+		}
+	}, []simtest.Observation{simtest.FifthTerm, simtest.StormPoll, simtest.FollowUpQuery}},
+	{"guests at their limit while a zone is cut off", func(w *simtest.World, seed uint64) {
+		submitRandomJobs(w, seed, 15, 120*second, 0.1, nil)
+		rng := rand.New(rand.NewPCG(seed, 8))
+		for i := range 8 {
+			j := drawJob(rng, 500+i)
+			atTeamLimit(rng, j)
+			j.Team, j.Priority = "limited", wire.PriorityIdle
+			w.Submit(time.Duration(rng.IntN(40_000))*time.Millisecond, j, 0)
+		}
+		w.At(60*second, func() { w.Inject(simtest.ZonePartitioned, 40*second) })
+		w.At(62*second, func() { w.CrashLeader(second) })
+		w.At(66*second, func() { w.CancelRunning(4, 15*second) })
+		w.At(120*second, func() { w.Inject(simtest.LeaderIsolated, 40*second) })
+		w.At(124*second, func() { w.CancelRunning(3, 0) })
+	}, []simtest.Observation{simtest.SecondTerm, simtest.CancelledWhileRunning}},
+	{"jobs that fail on every machine while spot machines are reclaimed", func(w *simtest.World, seed uint64) {
+		submitRandomJobs(w, seed, 25, 120*second, 0.1, nil)
+		rng := rand.New(rand.NewPCG(seed, 9))
+		for i := range 8 {
+			j := drawJob(rng, 500+i)
+			j.Spot = true
+			w.FailEverywhere(j)
+			w.Submit(time.Duration(rng.IntN(60_000))*time.Millisecond, j, 250*second)
+		}
+		w.At(0, func() { w.InvalidRequests(150 * second) })
+		for i := range 6 {
+			w.At(time.Duration(30+20*i)*second, func() { w.Inject(simtest.SpotReclaimed, 0) })
+		}
+		w.At(80*second, func() { w.Inject(simtest.StateOutage, 50*second) })
+		w.At(140*second, func() { w.CrashLeader(second) })
+	}, []simtest.Observation{simtest.SecondTerm, simtest.CancellationConfirmed, simtest.InvalidRequest}},
 }
 
 // TestOperationsFaults: the rules hold, no job waits where it could start, and all that was
@@ -72,7 +121,7 @@
 		t.Run(n.name, func(t *testing.T) {
 			eachSeed(t, 3, func(t *testing.T, seed uint64) {
 				p := params()
-				p.Teams = append(p.Teams, config.Team{Name: "guests"})
+				p.Teams = append(p.Teams, config.Team{Name: "guests"}, config.Team{Name: "limited", CPUsMax: 8})
 				w := simtest.NewWorld(3000+seed, 3+2*int(seed%2), p, machineType)
 				w.FaultRate = 1
 				n.inject(w, seed)
