A task too small to make way at its team's limit is not stopped over and over

At a team's limit one task of the team was stopped for a larger one of a higher priority even where that was not enough, so it ended never, and the larger one didn't begin. Now as many are stopped as it takes, or none. TestTooSmallTaskMakesNoWay fails without it.

--- a/internal/controller/placement_test.go
+++ b/internal/controller/placement_test.go
@@ -74,6 +74,58 @@
 	}
 }
 
+// TestTooSmallTaskMakesNoWay: at its team's limit, a large job's own team has running tasks
+// that together leave too little room for it. None is stopped: stopped pass after pass,
+// they would never end, and the large job would not begin either. Where they leave enough,
+// as many are stopped as it takes.
+func TestTooSmallTaskMakesNoWay(t *testing.T) {
+	for _, c := range []struct {
+		firmCPUs float64 // of each of two tasks that can't be stopped, of a limit of 16
+		running  int     // tasks of 1 CPU that can be
+		stops    int
+	}{{6.5, 1, 0}, {6, 2, 2}} {
+		l := newLeader(t, 5, start, map[string]json.RawMessage{})
+		firm := spec("job-1")
+		firm.Tasks, firm.CPUs, firm.EstimateS = 2, c.firmCPUs, 600
+		low := spec("job-2")
+		low.Priority, low.Tasks, low.CPUs, low.CheckpointS, low.EstimateS = wire.PriorityIdle, c.running, 1, 5, 300
+		lists := map[string][]wire.TaskReport{"m1": nil, "m2": nil, "m3": nil}
+		stops := 0
+		step := func() {
+			l.pass(500 * time.Millisecond)
+			l.commit()
+			for _, m := range []string{"m1", "m2", "m3"} {
+				for _, command := range l.report(m, 1, lists[m]...) {
+					switch command.Op {
+					case wire.OpStart:
+						lists[m] = append(lists[m], wire.TaskReport{Task: command.Task, Attempt: command.Attempt, State: wire.TaskRunning})
+					case wire.OpStop:
+						stops++
+						lists[m] = slices.DeleteFunc(lists[m], func(r wire.TaskReport) bool { return r.Task == command.Task })
+					}
+				}
+			}
+		}
+		for _, j := range []*wire.Job{firm, low} {
+			l.Submit(l.now, l.now, j, func(controller.Verdict) {})
+			l.commit()
+			for range 3 {
+				step()
+			}
+		}
+		high := spec("job-3")
+		high.Priority, high.CPUs = wire.PriorityCritical, 4
+		l.Submit(l.now, l.now, high, func(controller.Verdict) {})
+		l.commit()
+		for range 8 {
+			step()
+		}
+		if stops != c.stops {
+			t.Errorf("beside %d small tasks: %d stops, want %d", c.running, stops, c.stops)
+		}
+	}
+}
+
 // TestRoomBeingMadeIsKept: two tasks are stopped for a larger one of a higher priority,
 // and exit one after the other. What the first leaves does not go to work of the lower
 // priority again.
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -139,10 +139,12 @@
 	p.scheduleCall(v.machine)
 }
 
-func (p *preemption) undoStop(v victim) {
-	v.stop = false
-	p.leave(v.attempt, -1)
-	p.stops--
+func (p *preemption) undoStops(victims []victim) {
+	for _, v := range victims {
+		v.stop = false
+		p.leave(v.attempt, -1)
+		p.stops--
+	}
 }
 
 // makeRoom stops tasks for as many waiting tasks of the job as it finds room for.
@@ -161,23 +163,15 @@
 
 // makeRoomForOne is false if there is no room to be made for a task of the job.
 func (p *preemption) makeRoomForOne(r *sched.Ready, j *job, t *team) bool {
-	var own victim
-	limited := t.CPUsMax-t.used.CPUs+p.leaving[j.Team] < j.CPUs
-	if limited {
-		// The team is at its limit: only its own tasks can make way.
-		var ok bool
-		if own, ok = ownVictim(r, p.machinesByName, p.candidates); !ok {
-			return false
-		}
-		p.stop(own)
+	own, ok := p.makeRoomWithinLimit(r, j, t)
+	if !ok {
+		return false
 	}
 	best, victims := p.cheapestRoom(r, p.machinesByName, p.coming, p.candidates)
 	if best == nil {
 		// No machine would have it even then: stopping for nothing, pass
 		// after pass, would keep the team's other work from ever ending.
-		if limited {
-			p.undoStop(own)
-		}
+		p.undoStops(own)
 		return false
 	}
 	for _, v := range victims {
@@ -191,6 +185,24 @@
 	return true
 }
 
+// makeRoomWithinLimit stops tasks of the job's own team, as only they can make way where
+// the team is at its limit, until another task of the job fits: all that it takes or none.
+// One that is too small, stopped pass after pass, would never end, and the larger one
+// would not begin either.
+func (p *preemption) makeRoomWithinLimit(r *sched.Ready, j *job, t *team) ([]victim, bool) {
+	var own []victim
+	for t.CPUsMax-t.used.CPUs+p.leaving[j.Team] < j.CPUs {
+		v, ok := ownVictim(r, p.machinesByName, p.candidates)
+		if !ok {
+			p.undoStops(own)
+			return nil, false
+		}
+		p.stop(v)
+		own = append(own, v)
+	}
+	return own, true
+}
+
 // reserve keeps the room that comes free on a machine, for a moment, from work of a lower
 // priority. The stopped tasks leave one by one: the first room would otherwise go to what
 // was stopped, which then had to be stopped again, and the task that it all was for would
