--- a/internal/controller/scale_test.go
+++ b/internal/controller/scale_test.go
@@ -42,6 +42,8 @@
 	change bool
 	dead   bool // silent for good, but listed
 	gone   bool // released
+	// startedBy is the term of the last start that came.
+	startedBy uint64
 }
 
 // newFleet returns a leader of term 5 with machines that are up, but unheard.
@@ -95,6 +97,7 @@
 		case wire.OpStart:
 			w.tasks = append(w.tasks, wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning})
 			f.starts++
+			w.startedBy = f.Term()
 			job, _, _ := wire.SplitTask(c.Task)
 			f.begun[job] = true
 			lasts := time.Duration(5+f.rng.IntN(10)) * time.Second
@@ -272,9 +275,56 @@
 	f.Listed(f.now, f.now, rows)
 }
 
-// TestFleetBeyondPlannedSize: 2,200 machines under a lasting backlog of long tasks that
+// checkAllStartAgain checks that every machine that lives has been given work by the
+// leader of the given term, unless it is still full of its predecessor's.
+func (f *fleet) checkAllStartAgain(term uint64) {
+	f.t.Helper()
+	idle := 0
+	for _, w := range f.workers {
+		if !w.dead && w.startedBy < term && w.usedCPUs() < bigType.CPUs {
+			idle++
+		}
+	}
+	if idle > 0 {
+		f.t.Errorf("%d machines that live got no start in term %d", idle, term)
+	}
+}
+
+// usedCPUs are those of its running tasks: the jobs with long tasks ask for 8 a task, the others for 4.
+func (w *fleetWorker) usedCPUs() float64 {
+	cpus := 0.0
+	for _, task := range w.tasks {
+		switch {
+		case task.State != wire.TaskRunning:
+		case strings.HasPrefix(task.Task, "job-9"):
+			cpus += 8
+		default:
+			cpus += 4
+		}
+	}
+	return cpus
+}
+
+// checkWorkPerRequest counts the allocations of a report and of a question: neither may
+// grow with the number of machines, jobs or ended jobs.
+func (f *fleet) checkWorkPerRequest() {
+	f.t.Helper()
+	w := f.workers[1]
+	most := 40 + 8*len(w.tasks)
+	if got := testing.AllocsPerRun(50, func() { f.Report(f.now, f.report(w), true) }); got > float64(most) {
+		f.t.Errorf("a report of %d tasks allocates %.0f times, at most %d wanted", len(w.tasks), got, most)
+	}
+	for id := range f.submitted {
+		if got := testing.AllocsPerRun(50, func() { f.Query(id) }); got > 0 {
+			f.t.Errorf("a question allocates %.0f times", got)
+		}
+		break
+	}
+}
+
+// TestFleetBeyondPlannedSize: 4,000 machines under a lasting backlog of long tasks that
 // save and of urgent ones, some hundred starts a second. A tenth of the machines
-// die with all on them, and the leader soon after. What it costs stays bounded
+// die with all on them, and the leader soon after; every machine gets work of its successor. What it costs stays bounded
 // and the machines stay in use: a pass that scored every machine for every job
 // that had waited long once left 39,000 of 46,000 CPUs idle.
 func TestFleetBeyondPlannedSize(t *testing.T) {
@@ -283,12 +333,12 @@
 	bigType.CPUs, bigType.MemoryGB = 32, 128
 	params.Teams = nil
 	for k := range 10 {
-		params.Teams = append(params.Teams, config.Team{Name: fmt.Sprint("team", k), CPUs: 6000, CPUsMax: 12000})
+		params.Teams = append(params.Teams, config.Team{Name: fmt.Sprint("team", k), CPUs: 11000, CPUsMax: 22000})
 	}
 	params.Workers = config.Workers{ReportS: 6, LeaseS: 31, CancelS: 56}
-	params.State = config.State{RPS: 250, WriteRPS: 100, ValueKB: 8, TxnOps: 24}
+	params.State = config.State{RPS: 400, WriteRPS: 180, ValueKB: 8, TxnOps: 24}
 	params.Cloud = config.Cloud{RPS: 2, ListLagS: 8}
-	const machines = 2200
+	const machines = 4000
 	f := newFleet(t, machines)
 	for tick := range 1800 {
 		for k := range 10 {
@@ -330,6 +380,8 @@
 		}
 		f.step()
 	}
+	f.checkAllStartAgain(6)
+	f.checkWorkPerRequest()
 	waiting := 0
 	for id, at := range f.submitted {
 		if !f.begun[id] && f.now.Sub(at) > tuning.AgeAfter+30*time.Second {
