--- a/cmd/switchshore/main.go
+++ b/cmd/switchshore/main.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	operator, err := config.LoadOperator(opts.Operator)
+	operator, err := config.LoadOperator(opts.Operator, &settings.Params)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/admission/gate.go
@@ -0,0 +1,166 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"switchshore.example/switchshore/internal/tuning"
+)
+
+// Gate is a node's own part in admission: it counts what its users submit, remembers
+// whom it has refused since when, and applies the leader's policy. It outlives terms.
+type Gate struct {
+	settings *Settings
+	policy   Policy
+	expires  time.Time
+	started  uint64
+	offers   map[Key]*Offers
+	teams    map[string]*memory
+}
+
+// memory is what a node remembers of one team's jobs. Each team has a table of its own:
+// a flood of ids pushes out those of its own team only.
+type memory struct {
+	// refused: since when, for jobs that were refused and may come back.
+	refused *simplelru.LRU[string, time.Time]
+	// passed are jobs that were let through and may have been accepted: they are never
+	// turned away as new work.
+	passed *simplelru.LRU[string, struct{}]
+}
+
+// Offers are the submissions of a key since a node's start.
+type Offers struct {
+	Key
+	Count int64 `json:"count"`
+	// Boosted is the same, each counted as often as it is likelier than a new one.
+	Boosted float64 `json:"boosted"`
+	// Weight is the sum of the weights of their priorities.
+	Weight float64 `json:"weight"`
+}
+
+// NodeOffers are all offers of a node. Counts only grow as long as Started stays.
+type NodeOffers struct {
+	Node    string   `json:"node"`
+	Started uint64   `json:"started"`
+	Offers  []Offers `json:"offers,omitempty"`
+}
+
+// olderThan reports whether the counts are from before others of the same process: a copy
+// that came late.
+func (n *NodeOffers) olderThan(other *NodeOffers) bool {
+	return n.Started == other.Started && n.total() < other.total()
+}
+
+func (n *NodeOffers) total() (count int64) {
+	for _, o := range n.Offers {
+		count += o.Count
+	}
+	return count
+}
+
+// NewGate returns the gate of a node that has started now; started tells its counts from
+// those of an earlier process.
+func NewGate(s *Settings, started uint64) *Gate {
+	g := &Gate{settings: s, started: started, offers: map[Key]*Offers{}, teams: map[string]*memory{}}
+	size := max(tuning.AdmissionRemembered/max(len(s.Teams), 1), 1)
+	for _, t := range s.Teams {
+		// The only error is a size below one.
+		refused, _ := simplelru.NewLRU[string, time.Time](size, nil)
+		passed, _ := simplelru.NewLRU[string, struct{}](size, nil)
+		g.teams[t.Name] = &memory{refused, passed}
+	}
+	return g
+}
+
+// Learn takes in a policy. One that is not newer than the one known changes nothing: a
+// copy that comes late prolongs nothing.
+func (g *Gate) Learn(now time.Time, p Policy) {
+	if p.newerThan(&g.policy) {
+		g.policy = p
+		g.expires = now.Add(min(p.life(), tuning.AdmissionPolicyLife))
+	}
+}
+
+// Arrive counts a submission and completes the request by what the node remembers. It
+// returns false if the job may have been accepted already, or its team is unknown: then
+// only the leader can tell.
+func (g *Gate) Arrive(now time.Time, r *Request) bool {
+	m := g.teams[r.Key.Team]
+	if m == nil || m.passed.Contains(r.ID) {
+		return false
+	}
+	if since, ok := m.refused.Peek(r.ID); ok {
+		if now.Sub(since) < tuning.AdmissionPatience {
+			r.Waited = now.Sub(since)
+		} else {
+			// The user has given up since: it is a new try.
+			m.refused.Remove(r.ID)
+		}
+	}
+	count(g.offers, r)
+	return true
+}
+
+// Decide applies the policy that is known. Without one, or with one that has expired,
+// all goes on to the leader. The revision is that of the policy applied, 0 for none.
+func (g *Gate) Decide(now time.Time, r *Request) (d Decision, revision uint64) {
+	if !now.Before(g.expires) {
+		return Decision{Admitted: true}, 0
+	}
+	return g.policy.Decide(r), g.policy.Revision
+}
+
+// Passed notes that a job is let through.
+func (g *Gate) Passed(r *Request) {
+	if m := g.teams[r.Key.Team]; m != nil {
+		m.passed.Add(r.ID, struct{}{})
+	}
+}
+
+// Refused notes that a job was turned away, here or by the leader.
+func (g *Gate) Refused(now time.Time, r *Request) {
+	m := g.teams[r.Key.Team]
+	if m == nil {
+		return
+	}
+	m.passed.Remove(r.ID)
+	if !m.refused.Contains(r.ID) {
+		m.refused.Add(r.ID, now)
+	}
+}
+
+// Offers are the submissions counted so far.
+func (g *Gate) Offers(node string) NodeOffers {
+	n := NodeOffers{Node: node, Started: g.started}
+	for _, o := range g.offers {
+		n.Offers = append(n.Offers, *o)
+	}
+	return n
+}
+
+// Remembered is the number of jobs that the node remembers.
+func (g *Gate) Remembered() int {
+	n := 0
+	for _, m := range g.teams {
+		n += m.refused.Len() + m.passed.Len()
+	}
+	return n
+}
+
+// count counts a request into the offers of its key.
+func count(offers map[Key]*Offers, r *Request) {
+	o := offers[r.Key]
+	if o == nil {
+		o = &Offers{Key: r.Key}
+		offers[r.Key] = o
+	}
+	o.Count++
+	o.Boosted += r.boost()
+	o.Weight += priorityWeight(r.Level)
+}
+
+// priorityWeight is what a job of a priority counts in the division of its team's share.
+func priorityWeight(level int) float64 {
+	return float64(int(1) << max(0, tuning.AdmissionLowestLevel-level))
+}
--- /dev/null
+++ b/internal/admission/policy.go
@@ -0,0 +1,93 @@
+package admission
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+
+	"switchshore.example/switchshore/internal/tuning"
+)
+
+// Policy is what a leader lets every node know: the share of the submissions of each
+// key that is admitted now.
+type Policy struct {
+	Term uint64 `json:"term"`
+	// Revision grows with every policy. It follows the time of day in seconds, so that
+	// it goes on growing when the leader changes.
+	Revision uint64 `json:"revision"`
+	// LifeMS is how long a node may apply the policy after it first heard of it.
+	LifeMS int64 `json:"lifeMs"`
+	// Shares are the keys of which not everything is admitted.
+	Shares []Share `json:"shares,omitempty"`
+}
+
+// Share is the part of a key's submissions that is admitted.
+type Share struct {
+	Key
+	Admit float64 `json:"admit"`
+}
+
+// life is how long the policy may be applied.
+func (p *Policy) life() time.Duration { return time.Duration(p.LifeMS) * time.Millisecond }
+
+// newerThan reports whether the policy replaces another one.
+func (p *Policy) newerThan(other *Policy) bool {
+	if p.Term != other.Term {
+		return p.Term > other.Term
+	}
+	return p.Revision > other.Revision
+}
+
+// share is the part of a key's submissions that is admitted: all if it isn't named.
+func (p *Policy) share(k Key) float64 {
+	for _, s := range p.Shares {
+		if s.Key == k {
+			return s.Admit
+		}
+	}
+	return 1
+}
+
+// Decide applies the policy to a request. Every node that has the same policy and knows
+// the same of the job's wait comes to the same answer.
+func (p *Policy) Decide(r *Request) Decision {
+	share := p.share(r.Key)
+	if share >= 1 || ticket(r.ID, p.Revision) < share*r.boost() {
+		return Decision{Admitted: true}
+	}
+	return refusal(r.ID, p.Revision, share)
+}
+
+// refusal asks a user to come back within a time that grows as the share shrinks, each
+// at a moment of his own, so that returns don't come all at once.
+func refusal(id string, revision uint64, share float64) Decision {
+	spread := float64(tuning.AdmissionRetryMax)
+	if share > 0 {
+		spread = min(spread, math.Ceil(1/share))
+	}
+	spread = max(spread, tuning.AdmissionRetryMin)
+	return Decision{RetryAfter: 1 + int(ticket(id, ^revision)*spread)}
+}
+
+// goldenRatio is 2^64 divided by the golden ratio: multiples of it, modulo 2^64, are
+// spread more evenly than random numbers.
+const goldenRatio = 0x9E3779B97F4A7C15
+
+// ticket draws a number in [0, 1) for a job and a revision. The draws of one job in
+// successive revisions are spread evenly: one that has missed a share for some time is
+// all the likelier to be drawn next, whichever node or leader it meets.
+func ticket(id string, revision uint64) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	draw := mix(h.Sum64()) + revision*goldenRatio
+	return float64(draw>>11) / (1 << 53)
+}
+
+// mix lets every bit of x depend on all others (the finaliser of MurmurHash3).
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xFF51AFD7ED558CCD
+	x ^= x >> 33
+	x *= 0xC4CEB9FE1A85EC53
+	return x ^ x>>33
+}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -117,14 +117,14 @@
 
 func refuse(rc *fasthttp.RequestCtx, status int, why string) {
 	body, _ := json.Marshal(wire.Error{Error: why})
-	reply(rc, status, body)
+	reply(rc, status, tuning.RetryAfter, body)
 }
 
-func reply(rc *fasthttp.RequestCtx, status int, body []byte) {
+func reply(rc *fasthttp.RequestCtx, status, retryAfter int, body []byte) {
 	rc.SetStatusCode(status)
 	rc.SetContentType("application/json")
 	if status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests {
-		rc.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(tuning.RetryAfter))
+		rc.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(retryAfter))
 	}
 	rc.SetBody(body)
 }
@@ -173,7 +173,7 @@
 	default:
 		body, _ = json.Marshal(wire.Error{Error: a.Why})
 	}
-	reply(rc, a.Status, body)
+	reply(rc, a.Status, max(a.RetryAfter, tuning.RetryAfter), body)
 }
 
 // conns counts the connections that workers keep.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -81,12 +81,12 @@
 }
 
 func TestOperator(t *testing.T) {
-	o, err := config.ParseOperator([]byte(`<switchshore><machines><max>9</max></machines></switchshore>`))
+	o, err := config.ParseOperator([]byte(`<switchshore><machines><max>9</max></machines></switchshore>`), &config.Params{})
 	if err != nil || o.MaxMachines != 9 {
 		t.Fatalf("%+v %v", o, err)
 	}
 	for _, bad := range []string{"", "<other/>", `<switchshore><machines><max>-1</max></machines></switchshore>`} {
-		if _, err := config.ParseOperator([]byte(bad)); err == nil {
+		if _, err := config.ParseOperator([]byte(bad), &config.Params{}); err == nil {
 			t.Errorf("%q accepted", bad)
 		}
 	}
@@ -112,7 +112,7 @@
 	check(path, "facts.workers.lease_s", err)
 	for field, value := range map[string]string{"max": "1.5", "keepIdleSeconds": "soon", "planHorizonSeconds": "-1"} {
 		path := write("operator.xml", "<switchshore><machines><"+field+">"+value+"</"+field+"></machines></switchshore>")
-		_, err := config.LoadOperator(path)
+		_, err := config.LoadOperator(path, &config.Params{})
 		check(path, "machines/"+field, err)
 	}
 	missing := filepath.Join(t.TempDir(), "missing")
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -21,6 +21,8 @@
 	KeepIdleS float64
 	// HorizonS overrides the planning horizon, in seconds.
 	HorizonS float64
+	// Admission turns fair admission under overload on; nil is off.
+	Admission *Admission
 }
 
 // operatorFile is the file as it is written; a field left out is empty.
@@ -29,10 +31,12 @@
 	MaxMachines string   `xml:"machines>max"`
 	KeepIdleS   string   `xml:"machines>keepIdleSeconds"`
 	HorizonS    string   `xml:"machines>planHorizonSeconds"`
+
+	Admission *admissionElement `xml:"admission"`
 }
 
-// LoadOperator reads the operators' file; an empty path gives the defaults.
-func LoadOperator(path string) (*Operator, error) {
+// LoadOperator reads the operators' file for a deployment; an empty path gives the defaults.
+func LoadOperator(path string, p *Params) (*Operator, error) {
 	if path == "" {
 		return &Operator{}, nil
 	}
@@ -40,40 +44,66 @@
 	if err != nil {
 		return nil, fmt.Errorf("operator settings: %w", err)
 	}
-	o, err := ParseOperator(data)
+	o, err := ParseOperator(data, p)
 	if err != nil {
 		return nil, fmt.Errorf("operator settings %s: %w", path, err)
 	}
 	return o, nil
 }
 
-// ParseOperator decodes and checks the operators' file.
-func ParseOperator(data []byte) (*Operator, error) {
-	var file operatorFile
-	if err := xml.NewDecoder(bytes.NewReader(data)).Decode(&file); err != nil {
-		if errors.Is(err, io.EOF) {
-			err = errors.New("no switchshore element")
-		}
+// ParseOperator decodes and checks the operators' file for a deployment.
+func ParseOperator(data []byte, p *Params) (*Operator, error) {
+	file, err := decodeOperator(data)
+	if err != nil {
 		return nil, err
 	}
 	o := &Operator{}
-	max, err := amount("machines/max", file.MaxMachines)
+	most, err := amount("machines/max", file.MaxMachines)
 	if err != nil {
 		return nil, err
 	}
-	if max != math.Trunc(max) || max > math.MaxInt32 {
+	if most != math.Trunc(most) || most > math.MaxInt32 {
 		return nil, &FieldError{"machines/max", "must be a whole number"}
 	}
-	o.MaxMachines = int(max)
+	o.MaxMachines = int(most)
 	if o.KeepIdleS, err = amount("machines/keepIdleSeconds", file.KeepIdleS); err != nil {
 		return nil, err
 	}
 	if o.HorizonS, err = amount("machines/planHorizonSeconds", file.HorizonS); err != nil {
 		return nil, err
 	}
+	if o.Admission, err = file.Admission.parse(p); err != nil {
+		return nil, err
+	}
 	return o, nil
 }
 
+// decodeOperator reads the one element that the file consists of.
+func decodeOperator(data []byte) (*operatorFile, error) {
+	var file operatorFile
+	decoder := xml.NewDecoder(bytes.NewReader(data))
+	if err := decoder.Decode(&file); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = errors.New("no switchshore element")
+		}
+		return nil, err
+	}
+	for {
+		token, err := decoder.Token()
+		if errors.Is(err, io.EOF) {
+			return &file, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if text, blank := token.(xml.CharData); !blank || len(bytes.TrimSpace(text)) > 0 {
+			if _, comment := token.(xml.Comment); !comment {
+				return nil, errors.New("more than the switchshore element")
+			}
+		}
+	}
+}
+
 // amount reads a number that is not negative, 0 if there is none.
 func amount(field, text string) (float64, error) {
 	text = strings.TrimSpace(text)
--- a/internal/controller/completion.go
+++ b/internal/controller/completion.go
@@ -27,7 +27,7 @@
 	}
 	queue.put(keyFinal(j.ID), f.value(), func() {
 		c.finals[j.ID] = f
-		c.active -= j.Tasks
+		c.countUnfinished(j.Team, -j.Tasks)
 		j.ended = true
 		c.notifyDependents(j.ID, f)
 		j.tellWaiting(true)
@@ -59,6 +59,7 @@
 		return
 	}
 	if j.done.Full() {
+		c.logIfLate(now, j)
 		c.end(now, j, jobDone, &c.interactiveWrites)
 		return
 	}
@@ -68,6 +69,19 @@
 	}
 }
 
+// logIfLate tells what a job that is done after its deadline has spent its time on.
+func (c *Controller) logIfLate(now time.Time, j *job) {
+	if j.DeadlineS == nil || now.Sub(j.submitted).Seconds() <= *j.DeadlineS {
+		return
+	}
+	c.log.Debug().Str("job", j.ID).Str("class", j.Class).Str("team", j.Team).Int("tasks", j.Tasks).
+		Float64("deadline_s", *j.DeadlineS).Float64("done_s", now.Sub(j.submitted).Seconds()).
+		Float64("first_start_s", j.firstStartAt.Sub(j.submitted).Seconds()).
+		Float64("last_start_s", j.lastStartAt.Sub(j.submitted).Seconds()).
+		Float64("estimate_s", j.EstimateS).Float64("corrected_s", c.estimate(j)).
+		Int("interrupted", len(j.progress)).Int("failures", j.failures).Msg("deadline missed")
+}
+
 // flushDone queues the writes of completions that have waited long enough.
 func (c *Controller) flushDone(now time.Time) {
 	var due []*job
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"switchshore.example/switchshore/internal/admission"
 	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/sched"
 	"switchshore.example/switchshore/internal/tuning"
@@ -31,6 +32,11 @@
 	jobs   map[string]*job
 	finals map[string]final // ended jobs, for good
 	active int              // unfinished tasks, for the memory bound
+	// activeByTeam are the same by team.
+	activeByTeam map[string]int
+	// regulator decides on new jobs under overload; nil if that is off.
+	regulator         *admission.Regulator
+	admissionSettings *admission.Settings
 	// live are the unfinished jobs that need no other any more.
 	live               map[*job]struct{}
 	unsavedCompletions map[*job]time.Time // jobs with unwritten completions, since when
@@ -80,6 +86,7 @@
 		jobs:               map[string]*job{},
 		finals:             map[string]final{},
 		live:               map[*job]struct{}{},
+		activeByTeam:       map[string]int{},
 		unsavedCompletions: map[*job]time.Time{},
 		teams:              map[string]*team{},
 		runTimes:           runTimes{},
@@ -90,13 +97,9 @@
 		cloudState:         newCloudState(),
 	}
 	for _, t := range p.Teams {
-		if t.CPUsMax == 0 && t.GPUsMax == 0 {
-			// "A value of 0 means none": a guest without a guarantee and without a
-			// limit, not one that may use nothing.
-			t.CPUsMax, t.GPUsMax = math.Inf(1), math.Inf(1)
-		}
-		c.teams[t.Name] = &team{Team: t}
+		c.teams[t.Name] = &team{Team: withLimits(t)}
 	}
+	c.setUpAdmission(&o, now)
 	// A predecessor's last answer comes at the latest a grace after its
 	// authority, which ended before now; the worker's lease runs from the
 	// sending of the report answered.
@@ -104,6 +107,16 @@
 	return c
 }
 
+// withLimits returns a team with the limits that its settings stand for.
+func withLimits(t config.Team) config.Team {
+	if t.CPUsMax == 0 && t.GPUsMax == 0 {
+		// "A value of 0 means none": a guest without a guarantee and without a
+		// limit, not one that may use nothing.
+		t.CPUsMax, t.GPUsMax = math.Inf(1), math.Inf(1)
+	}
+	return t
+}
+
 // Grace is how long a leader without the state service goes on answering
 // reports: as long as possible, with a worker's lease on top still within
 // the time for cancellations.
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -34,9 +34,9 @@
 		}
 		switch j := c.jobs[id]; {
 		case j == nil:
-			return &RejectedError{http.StatusUnprocessableEntity, fmt.Sprintf("awaits %.*s, which was never accepted", wire.MaxIDLength, id)}
+			return &RejectedError{Status: http.StatusUnprocessableEntity, Reason: fmt.Sprintf("awaits %.*s, which was never accepted", wire.MaxIDLength, id)}
 		case !j.stored:
-			return &RejectedError{http.StatusServiceUnavailable, "awaits " + id + ", which is being accepted"}
+			return &RejectedError{Status: http.StatusServiceUnavailable, Reason: "awaits " + id + ", which is being accepted"}
 		}
 	}
 	return nil
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -92,8 +92,11 @@
 	notUntil time.Time
 	// startAt is when a task of the job was last placed, or when the job came.
 	startAt time.Time
-	waiting []func(ok bool) // told when the acceptance is durable
-	chunks  map[int]bool    // parts of the done-set to be written
+	// firstStartAt and lastStartAt are when the first and the last task were placed in
+	// this term, zero before.
+	firstStartAt, lastStartAt time.Time
+	waiting                   []func(ok bool) // told when the acceptance is durable
+	chunks                    map[int]bool    // parts of the done-set to be written
 	// keys are the records of the job beside its own.
 	keys map[string]bool
 }
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -131,7 +131,7 @@
 	if f.how == finalDone {
 		j.state = jobDone
 	}
-	c.active -= j.Tasks
+	c.countUnfinished(j.Team, -j.Tasks)
 	return nil
 }
 
--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -97,7 +97,10 @@
 	last := len(j.ready) - 1
 	index := j.ready[last]
 	j.ready = j.ready[:last]
-	j.startAt = now
+	j.startAt, j.lastStartAt = now, now
+	if j.firstStartAt.IsZero() {
+		j.firstStartAt = now
+	}
 	a := &attempt{number: c.nextAttempt(), state: recordPending, orderedAt: now, afterLongWait: afterLongWait}
 	c.hold(m, j, index, a)
 	c.recordStart(a)
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -119,7 +119,7 @@
 		j.keys[key] = true
 	}
 	c.jobs[id] = j
-	c.active += j.Tasks
+	c.countUnfinished(j.Team, j.Tasks)
 	return nil
 }
 
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"switchshore.example/switchshore/internal/admission"
+	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/sched"
 	"switchshore.example/switchshore/internal/tuning"
 	"switchshore.example/switchshore/wire"
@@ -17,6 +19,9 @@
 	Done   int
 	Run    int
 	Why    string
+	// RetryAfter is when a user who is refused should come back, in seconds; 0 for the
+	// usual time.
+	RetryAfter int
 }
 
 // Final reports whether the verdict stays true for good, whoever leads: others may
@@ -46,17 +51,26 @@
 
 // RejectedError is why a submission is not accepted: now, or ever.
 type RejectedError struct {
-	Status int
-	Reason string
+	Status     int
+	Reason     string
+	RetryAfter int
 }
 
 func (e *RejectedError) Error() string { return e.Reason }
 
-func (e *RejectedError) verdict() Verdict { return Verdict{Status: e.Status, Why: e.Reason} }
+func (e *RejectedError) verdict() Verdict {
+	return Verdict{Status: e.Status, Why: e.Reason, RetryAfter: e.RetryAfter}
+}
 
-// Submit takes a checked submission. It either answers at once or calls then
-// later, when the job is durable or the term is over.
+// Submit takes a checked submission of which no other node has told anything.
 func (c *Controller) Submit(now time.Time, wall time.Time, spec *wire.Job, then func(Verdict)) {
+	c.SubmitClaimed(now, wall, spec, nil, then)
+}
+
+// SubmitClaimed takes a checked submission with what the node that its user has reached
+// says of it. It either answers at once or calls then later, when the job is durable or
+// the term is over.
+func (c *Controller) SubmitClaimed(now time.Time, wall time.Time, spec *wire.Job, claim *admission.Claim, then func(Verdict)) {
 	// Until the acceptance is durable nobody may be told of the job, not even
 	// once its cancellation has been asked for.
 	if j := c.jobs[spec.ID]; j != nil && j.undecided() {
@@ -67,7 +81,11 @@
 		then(v)
 		return
 	}
-	if rejected := c.checkSubmission(spec); rejected != nil {
+	rejected := c.checkSubmission(spec)
+	if rejected == nil {
+		rejected = c.checkAdmission(now, spec, claim)
+	}
+	if rejected != nil {
 		then(rejected.verdict())
 		return
 	}
@@ -77,10 +95,10 @@
 // checkSubmission returns why a job that is not known yet can't be accepted, or nil.
 func (c *Controller) checkSubmission(spec *wire.Job) *RejectedError {
 	if !c.Ready() {
-		return &RejectedError{http.StatusServiceUnavailable, "machine types not known yet"}
+		return &RejectedError{Status: http.StatusServiceUnavailable, Reason: "machine types not known yet"}
 	}
 	if why := c.impossible(spec); why != "" {
-		return &RejectedError{http.StatusUnprocessableEntity, why}
+		return &RejectedError{Status: http.StatusUnprocessableEntity, Reason: why}
 	}
 	if rejected := c.checkDependencies(spec); rejected != nil {
 		return rejected
@@ -88,7 +106,7 @@
 	if c.active+spec.Tasks > tuning.ActiveTasks || c.interactiveWrites.len() >= c.maxInteractiveWrites() {
 		// More than the state service takes while users wait for an answer:
 		// waiting in line would only end in a timeout.
-		return &RejectedError{http.StatusServiceUnavailable, "too much work queued"}
+		return &RejectedError{Status: http.StatusServiceUnavailable, Reason: "too much work queued"}
 	}
 	return nil
 }
@@ -97,7 +115,7 @@
 func (c *Controller) accept(now time.Time, wall time.Time, spec *wire.Job, then func(Verdict)) {
 	j := newJob(*spec, wall.UnixMilli(), now)
 	c.jobs[j.ID] = j
-	c.active += j.Tasks
+	c.countUnfinished(j.Team, j.Tasks)
 	c.linkDependencies(j)
 	for _, need := range j.Needs {
 		c.scheduleCriticalPath(c.jobs[need])
@@ -134,15 +152,10 @@
 
 // impossible says why a job can never run, or "".
 func (c *Controller) impossible(spec *wire.Job) string {
-	t := c.teams[spec.Team]
-	if t == nil {
-		return "unknown team"
+	if why := aboveLimit(c.teams[spec.Team], spec); why != "" {
+		return why
 	}
-	need := sched.Resources{CPUs: spec.CPUs, GPUs: spec.GPUs}
-	if !(sched.Resources{CPUs: t.CPUsMax, GPUs: t.GPUsMax}).Fits(need) {
-		return "a task needs more than the team's limit"
-	}
-	need.MemoryGB = spec.MemoryGB
+	need := sched.Resources{CPUs: spec.CPUs, GPUs: spec.GPUs, MemoryGB: spec.MemoryGB}
 	probe := sched.Ready{Types: spec.Types, Zone: spec.Zone, Spot: true, Need: need, Total: spec.Tasks}
 	for _, mt := range c.types {
 		for _, zone := range mt.Zones {
@@ -154,6 +167,28 @@
 	return "a task fits no allowed machine type"
 }
 
+// aboveLimit says why a job can never run, as far as its team's settings tell, or "".
+func aboveLimit(t *team, spec *wire.Job) string {
+	if t == nil {
+		return "unknown team"
+	}
+	if !(sched.Resources{CPUs: t.CPUsMax, GPUs: t.GPUsMax}).Fits(sched.Resources{CPUs: spec.CPUs, GPUs: spec.GPUs}) {
+		return "a task needs more than the team's limit"
+	}
+	return ""
+}
+
+// AboveLimit says why a job can never run, as far as the settings alone tell, or "": any
+// node can say that, whether or not a leader is known.
+func AboveLimit(teams []config.Team, spec *wire.Job) string {
+	for _, t := range teams {
+		if t.Name == spec.Team {
+			return aboveLimit(&team{Team: withLimits(t)}, spec)
+		}
+	}
+	return aboveLimit(nil, spec)
+}
+
 func resources(t wire.MachineType) sched.Resources {
 	return sched.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
 }
--- a/internal/controller/writes.go
+++ b/internal/controller/writes.go
@@ -14,6 +14,7 @@
 	queue []*write
 	byKey map[string]*write
 	head  int
+	taken int64 // changes taken out so far
 }
 
 type write struct {
@@ -95,6 +96,7 @@
 		}
 		q.queue[q.head] = nil
 		q.head++
+		q.taken++
 		delete(q.byKey, w.key)
 		b.add(w)
 	}
--- /dev/null
+++ b/internal/node/admission.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"switchshore.example/switchshore/internal/admission"
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/controller"
+	"switchshore.example/switchshore/internal/peer"
+	"switchshore.example/switchshore/internal/store"
+	"switchshore.example/switchshore/internal/tuning"
+	"switchshore.example/switchshore/wire"
+)
+
+// gate is the node's part in admission, shared by the requests under way.
+type gate struct {
+	settings *admission.Settings
+	teams    []config.Team
+
+	mu    sync.Mutex
+	inner *admission.Gate
+}
+
+func newGate(s *admission.Settings, teams []config.Team, now time.Time) *gate {
+	return &gate{settings: s, teams: teams, inner: admission.NewGate(s, uint64(now.UnixNano()))}
+}
+
+// learn takes in the leader's policy.
+func (g *gate) learn(p admission.Policy) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inner.Learn(now, p)
+}
+
+func (g *gate) offers(node string) *admission.NodeOffers {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	o := g.inner.Offers(node)
+	return &o
+}
+
+// arrive counts a submission. isNew is false if the job may have been accepted already.
+func (g *gate) arrive(now time.Time, job *wire.Job) (r *admission.Request, isNew bool) {
+	r, _ = controller.AdmissionRequest(g.settings, job)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return r, g.inner.Arrive(now, r)
+}
+
+func (g *gate) decide(now time.Time, r *admission.Request) (admission.Decision, uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inner.Decide(now, r)
+}
+
+func (g *gate) passed(r *admission.Request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inner.Passed(r)
+}
+
+func (g *gate) refused(now time.Time, r *admission.Request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inner.Refused(now, r)
+}
+
+// admit takes a user's submission: the leader decides on its own, as it knows which jobs
+// are known already; any other node applies the leader's policy first.
+func (n *Node) admit(ctx context.Context, c peer.Call) peer.Answer {
+	now := time.Now()
+	job := c.Submission()
+	r, isNew := n.gate.arrive(now, job)
+	c.Admission = &admission.Claim{WaitedMS: r.Waited.Milliseconds()}
+	if a, mine := n.local(ctx, c); mine {
+		return n.noteAnswer(r, a)
+	}
+	if isNew {
+		if why := controller.AboveLimit(n.gate.teams, job); why != "" {
+			return peer.Refusal(http.StatusUnprocessableEntity, why)
+		}
+		decision, revision := n.gate.decide(now, r)
+		if !decision.Admitted {
+			rejected := controller.Shed(decision)
+			refusal := peer.Refusal(rejected.Status, rejected.Reason)
+			refusal.RetryAfter = rejected.RetryAfter
+			return n.noteAnswer(r, refusal)
+		}
+		c.Admission.Revision = revision
+	}
+	// Whatever becomes of the answer: the job may have been accepted.
+	n.gate.passed(r)
+	return n.noteAnswer(r, n.forward(ctx, c))
+}
+
+// admissionLoop tells the controller, once an interval, what the nodes are offered, and by
+// how much this loop itself comes too late.
+func (n *Node) admissionLoop(ctx context.Context, p *controller.Controller) error {
+	lag := time.Duration(0)
+	for {
+		offers := append(n.hub.Offers(), *n.gate.offers(n.config.Name))
+		now := time.Now()
+		n.mu.Lock()
+		p.UpdateAdmission(now, now, lag, offers)
+		n.mu.Unlock()
+		if err := store.Pause(ctx, tuning.AdmissionInterval); err != nil {
+			return err
+		}
+		lag = time.Since(now) - tuning.AdmissionInterval
+	}
+}
+
+// noteAnswer remembers what a user is told.
+func (n *Node) noteAnswer(r *admission.Request, a peer.Answer) peer.Answer {
+	switch {
+	case a.Status == http.StatusTooManyRequests:
+		n.gate.refused(time.Now(), r)
+	case a.Status/100 == 2:
+		n.gate.passed(r)
+	}
+	return a
+}
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -42,6 +42,9 @@
 	g.Go(func() error { return n.tickLoop(ctx, p, l) })
 	g.Go(func() error { return n.typesLoop(ctx, p) })
 	g.Go(func() error { return n.listLoop(ctx, p) })
+	if n.gate != nil {
+		g.Go(func() error { return n.admissionLoop(ctx, p) })
+	}
 	return g.Wait()
 }
 
@@ -175,7 +178,15 @@
 func (n *Node) logSummary(p *controller.Controller) {
 	n.mu.Lock()
 	counts := p.Counts()
+	shares, on := p.AdmissionSummary()
 	n.mu.Unlock()
+	if on && shares.Shedding {
+		event := n.log.Info().Float64("pressure", shares.Pressure).Float64("budget", shares.Budget).Float64("offered", shares.Offered)
+		for _, s := range shares.Shed {
+			event = event.Float64(s.Team+"/"+s.Class, s.Admit)
+		}
+		event.Msg("shedding")
+	}
 	n.log.Debug().Int("jobs", counts.Jobs).Int("ready", counts.Ready).Int("held", counts.Held).
 		Int("machines", counts.Machines).Int("up", counts.Up).Int("spot", counts.Spot).
 		Float64("cpus", counts.CPUs).Float64("used", counts.UsedCPUs).Float64("wanted", counts.WantedCPUs).
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,8 @@
 	tick  chan struct{}
 	write chan struct{}
 
+	gate *gate // nil if admission control is off
+
 	reachMu   sync.Mutex
 	reachedAt time.Time
 	reached   bool
@@ -65,6 +67,10 @@
 		write:    make(chan struct{}, 1),
 	}
 	n.election = &election.Election{Store: n.store, Node: c.Name, Log: log, Lead: n.lead}
+	if settings := o.AdmissionSettings(&c.Params); settings != nil {
+		n.gate = newGate(settings, c.Params.Teams, time.Now())
+		n.hub.Policy = n.gate.learn
+	}
 	n.hub.Self = n.heartbeat
 	n.hub.Superseded = n.superseded
 	n.hub.Serve = n.Do
@@ -93,6 +99,9 @@
 // heartbeat tells peers what this node knows of the leader.
 func (n *Node) heartbeat() peer.Heartbeat {
 	b := peer.Heartbeat{Node: n.config.Name, Hears: n.hub.HearsLeader()}
+	if n.gate != nil {
+		b.Offers = n.gate.offers(n.config.Name)
+	}
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -100,6 +109,9 @@
 		b.Term = n.leadership.Term
 		b.Leads = n.leadership.Authority(now)
 		b.Grace = n.leadership.Grace(now, n.grace)
+		if b.Leads {
+			b.Policy = n.controller.AdmissionPolicy()
+		}
 	}
 	return b
 }
@@ -134,11 +146,20 @@
 	return n.reached && now.Sub(n.reachedAt) < patience
 }
 
-// Do carries a call out if this node leads, or forwards it to the leader.
+// Do carries a call out if this node leads, or forwards it to the leader. A submission
+// that comes from a user goes through admission first, unless that is off.
 func (n *Node) Do(ctx context.Context, c peer.Call) peer.Answer {
+	if n.gate != nil && c.Op == peer.OpSubmit && c.Hops == 0 {
+		return n.admit(ctx, c)
+	}
 	if a, mine := n.local(ctx, c); mine {
 		return a
 	}
+	return n.forward(ctx, c)
+}
+
+// forward sends a call to the leader and waits for the answer as long as the caller does.
+func (n *Node) forward(ctx context.Context, c peer.Call) peer.Answer {
 	wait := tuning.QueryWait
 	switch c.Op {
 	case peer.OpSubmit, peer.OpCancel:
@@ -187,7 +208,7 @@
 	case peer.OpCancel:
 		p.Cancel(now, c.Job, then)
 	case peer.OpSubmit:
-		p.Submit(now, time.Now(), c.Submission(), then)
+		p.SubmitClaimed(now, time.Now(), c.Submission(), c.Admission, then)
 	}
 	n.mu.Unlock()
 	n.wake(n.write)
@@ -209,7 +230,9 @@
 
 func verdictAnswer(c peer.Call, v controller.Verdict) peer.Answer {
 	if v.Status/100 != 2 {
-		return peer.Refusal(v.Status, v.Why)
+		refusal := peer.Refusal(v.Status, v.Why)
+		refusal.RetryAfter = v.RetryAfter
+		return refusal
 	}
 	return peer.Answer{Status: v.Status, Job: &wire.JobStatus{ID: c.Job, State: v.State, Done: v.Done, Running: v.Run}}
 }
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"switchshore.example/switchshore/internal/admission"
 	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/store"
 	"switchshore.example/switchshore/internal/tuning"
@@ -29,6 +30,8 @@
 	Self func() Heartbeat
 	// Superseded is told the term of a peer that leads with authority.
 	Superseded func(term uint64)
+	// Policy, if set, is told the admission policy of a peer that leads.
+	Policy func(admission.Policy)
 	// Serve answers a peer's call.
 	Serve func(context.Context, Call) Answer
 
@@ -103,9 +106,30 @@
 	h.mu.Lock()
 	h.views[b.Node] = peerState{*b, time.Now()}
 	h.mu.Unlock()
-	if b.Leads {
-		h.Superseded(b.Term)
+	if !b.Leads {
+		return
 	}
+	h.Superseded(b.Term)
+	if h.Policy != nil && b.Policy != nil && b.Policy.Term == b.Term {
+		h.Policy(*b.Policy)
+	}
+}
+
+// Offers are what the users of the peers within reach submit.
+func (h *Hub) Offers() []admission.NodeOffers {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var all []admission.NodeOffers
+	for _, l := range h.links {
+		v := h.views[l.name]
+		if v.heartbeat.Offers != nil && now.Sub(v.at) <= tuning.PeerSilence {
+			offers := *v.heartbeat.Offers
+			offers.Node = l.name
+			all = append(all, offers)
+		}
+	}
+	return all
 }
 
 // HearsLeader reports whether a peer with authority is directly in reach.
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"switchshore.example/switchshore/internal/admission"
 	"switchshore.example/switchshore/wire"
 )
 
@@ -25,6 +26,8 @@
 	Report           *wire.Report `json:"report,omitempty"`
 	// Hops counts forwards; a call is relayed once at most.
 	Hops int `json:"hops,omitempty"`
+	// Admission is what the node that the user has reached says of a submission.
+	Admission *admission.Claim `json:"admission,omitempty"`
 }
 
 // Submit returns the call for a submission.
@@ -66,6 +69,8 @@
 	Job    *wire.JobStatus    `json:"job,omitempty"`
 	Report *wire.ReportAnswer `json:"report,omitempty"`
 	Why    string             `json:"why,omitempty"`
+	// RetryAfter is when the user should come back, in seconds; 0 for the usual time.
+	RetryAfter int `json:"retryAfter,omitempty"`
 }
 
 // Final reports whether the answer stays true for good, whoever leads.
@@ -84,6 +89,10 @@
 	Grace bool `json:"grace,omitempty"`
 	// Hears: the node has a direct link to a leader with authority.
 	Hears bool `json:"hears,omitempty"`
+	// Policy is the leader's for the admission of jobs, Offers what the node's users
+	// submit; nil where admission control is off.
+	Policy *admission.Policy     `json:"policy,omitempty"`
+	Offers *admission.NodeOffers `json:"offers,omitempty"`
 }
 
 type line struct {
--- /dev/null
+++ b/internal/simtest/admission_test.go
@@ -0,0 +1,214 @@
+package simtest_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/simtest"
+	"switchshore.example/switchshore/wire"
+)
+
+// flood is a day on which far more is submitted than the state service takes.
+type flood struct {
+	*simtest.World
+	t        *testing.T
+	rng      *rand.Rand
+	number   int
+	outcomes []simtest.Outcome
+}
+
+// overloadWindow is the time within which every class must make progress.
+const overloadWindow = 20 * time.Second
+
+// newFlood returns a world of three to five nodes whose state service takes a few jobs a
+// second, with admission control on.
+func newFlood(t *testing.T, seed uint64) *flood {
+	p := params()
+	p.Teams = []config.Team{
+		{Name: "blue", CPUs: 40, CPUsMax: 60},
+		{Name: "green", CPUs: 16, CPUsMax: 60},
+		{Name: "guests"},
+	}
+	p.Objectives = []config.Objective{{Kind: "finished", Class: "urgent", WithinS: 60}, {Kind: "finished", Class: "nightly", WithinS: 250}}
+	p.State.WriteRPS = 30
+	w := simtest.NewWorld(seed, 3+2*int(seed%2), p, machineType)
+	w.Operator = config.Operator{Admission: &config.Admission{}}
+	w.LimitWrites = true
+	w.ExchangeHeartbeats()
+	return &flood{World: w, t: t, rng: rand.New(rand.NewPCG(seed, 3))}
+}
+
+// submit lets a team submit jobs of a class at a rate, in jobs a second.
+func (f *flood) submit(team, class string, perSecond float64, from, until time.Duration, shape func(*wire.Job)) {
+	for at := from; at < until; at += time.Duration(f.rng.ExpFloat64() / perSecond * float64(time.Second)) {
+		f.number++
+		j := &wire.Job{
+			ID: fmt.Sprintf("job-%06d", f.number), Class: class, Team: team, Kind: wire.KindArray, Priority: wire.PriorityNormal,
+			Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "img-0", ImageGB: 0.1, Spot: true, EstimateS: 1,
+		}
+		if class == "urgent" {
+			j.Priority = wire.PriorityHigh
+		}
+		if shape != nil {
+			shape(j)
+		}
+		f.SubmitWithPatience(at, j, func(o simtest.Outcome) { f.outcomes = append(f.outcomes, o) })
+	}
+}
+
+// normalLoad is what the three teams submit on any day, three jobs a second in all.
+func (f *flood) normalLoad(until time.Duration) {
+	for _, team := range []string{"blue", "green", "guests"} {
+		for _, class := range []string{"urgent", "nightly"} {
+			f.submit(team, class, 0.5, 0, until, nil)
+		}
+	}
+}
+
+// accepted counts the jobs of a team and class accepted in a span, and those asked for.
+func (f *flood) accepted(team, class string, from, until time.Duration) (accepted, asked int) {
+	for _, o := range f.outcomes {
+		if o.Job.Team != team || class != "" && o.Job.Class != class {
+			continue
+		}
+		if o.AskedAt >= from && o.AskedAt < until {
+			asked++
+		}
+		if o.Accepted && o.At >= from && o.At < until {
+			accepted++
+		}
+	}
+	return accepted, asked
+}
+
+// checkProgress fails if a class of a team has got nothing in a window of the overload.
+func (f *flood) checkProgress(from, until time.Duration) {
+	f.t.Helper()
+	for _, team := range []string{"blue", "green", "guests"} {
+		for _, class := range []string{"urgent", "nightly"} {
+			for at := from; at+overloadWindow <= until; at += overloadWindow {
+				if n, asked := f.accepted(team, class, at, at+overloadWindow); n == 0 && asked > 0 {
+					f.t.Errorf("%s/%s: none of %d accepted from %v", team, class, asked, at)
+				}
+			}
+		}
+	}
+}
+
+// play runs the day; every job must have got one final answer, accepted ones must end.
+func (f *flood) play(observed ...simtest.Observation) {
+	f.t.Helper()
+	if err := f.Run(330*second, 90*second); err != nil {
+		f.t.Fatal(err)
+	}
+	if left := f.Rules.Unfinished(); len(left) > 0 {
+		f.t.Errorf("not done: %v", left)
+	}
+	if len(f.outcomes) != f.number {
+		f.t.Errorf("%d of %d submissions came to an end", len(f.outcomes), f.number)
+	}
+	seen := map[string]bool{}
+	for _, o := range f.outcomes {
+		if seen[o.Job.ID] {
+			f.t.Errorf("%s came to an end twice", o.Job.ID)
+		}
+		seen[o.Job.ID] = true
+	}
+	for _, what := range observed {
+		if f.Observed[what] == 0 {
+			f.t.Errorf("%s didn't happen", what)
+		}
+	}
+}
+
+// TestFloodCostsItsTeam: a script of one team submits ten times the normal load, each time
+// under new ids and classes. The others get what they ask for, but for a few, and no class is
+// left without progress.
+func TestFloodCostsItsTeam(t *testing.T) {
+	eachSeed(t, 2, func(t *testing.T, seed uint64) {
+		f := newFlood(t, 700+seed)
+		f.normalLoad(90 * second)
+		f.submit("blue", "nightly", 27, 10*second, 80*second, func(j *wire.Job) {
+			if f.rng.IntN(2) == 0 {
+				j.Class = fmt.Sprint("made-up-", f.number)
+			}
+		})
+		f.play(simtest.ShedByFollower, simtest.ShedByLeader)
+		f.checkProgress(20*second, 80*second)
+		blue, _ := f.accepted("blue", "", 20*second, 80*second)
+		for _, team := range []string{"green", "guests"} {
+			got, asked := f.accepted(team, "", 20*second, 80*second)
+			t.Logf("%s: %d of %d; blue: %d", team, got, asked, blue)
+			if float64(got) < 0.7*float64(asked) {
+				t.Errorf("%s: %d of %d accepted in a flood of blue", team, got, asked)
+			}
+		}
+	})
+}
+
+// TestOverloadWithFaults: all teams submit ten times the normal load, two of them in bursts at
+// the same moments, while faults hit the controllers and what they talk to.
+func TestOverloadWithFaults(t *testing.T) {
+	scenarios := map[string]struct {
+		inject   func(f *flood)
+		terms    int // at least
+		observed []simtest.Observation
+	}{
+		"the leader ends twice": {func(f *flood) {
+			f.At(35*second, func() { f.CrashLeader(second) })
+			f.At(55*second, func() { f.CrashLeader(second / 5) })
+		}, 2, nil},
+		"an isolated leader": {func(f *flood) {
+			f.At(35*second, func() { f.Inject(simtest.LeaderIsolated, 20*second) })
+		}, 2, nil},
+		"all end": {func(f *flood) {
+			f.At(40*second, func() { f.CrashAll(2 * second) })
+		}, 2, nil},
+		"answers to writes are lost": {func(f *flood) {
+			f.At(30*second, func() { f.Inject(simtest.AnswersToWritesLost, 10*second) })
+		}, 1, []simtest.Observation{simtest.WriteAnswerLost}},
+		"one node has it off": {func(f *flood) { f.AdmissionOff(1) }, 1, nil},
+		"the previous version is upgraded meanwhile": {func(f *flood) {
+			f.RollingUpgrade(25*second, 12*second)
+		}, 2, nil},
+		"partitioned nodes": {func(f *flood) {
+			f.At(20*second, func() { f.InjectFaults(simtest.NodesPartitioned) })
+		}, 1, nil},
+	}
+	for name, s := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			eachSeed(t, 1, func(t *testing.T, seed uint64) {
+				f := newFlood(t, 800+seed)
+				for _, team := range []string{"blue", "green", "guests"} {
+					f.submit(team, "urgent", 5, 10*second, 75*second, nil)
+					f.submit(team, "nightly", 5, 10*second, 75*second, nil)
+				}
+				for at := 20 * second; at < 75*second; at += 20 * second {
+					f.submit("blue", "nightly", 60, at, at+second, nil)
+					f.submit("green", "urgent", 60, at, at+second, nil)
+				}
+				s.inject(f)
+				f.play(append(s.observed, simtest.ShedByLeader)...)
+				if n := f.Observed[simtest.TermBegan]; n < s.terms {
+					t.Errorf("%d terms, %d wanted", n, s.terms)
+				}
+				f.checkProgress(30*second, 70*second)
+			})
+		})
+	}
+}
+
+// TestNothingIsShedWithoutOverload: with admission control on and a load that can be carried
+// nobody is turned away, however the nodes fare.
+func TestNothingIsShedWithoutOverload(t *testing.T) {
+	f := newFlood(t, 900)
+	f.normalLoad(80 * second)
+	f.At(40*second, func() { f.CrashLeader(second) })
+	f.play()
+	if n := f.Observed[simtest.ShedByFollower] + f.Observed[simtest.ShedByLeader]; n > 0 {
+		t.Errorf("%d submissions turned away", n)
+	}
+}
--- a/internal/simtest/faults.go
+++ b/internal/simtest/faults.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"switchshore.example/switchshore/internal/admission"
 )
 
 // Fault is a kind of fault.
@@ -333,6 +335,7 @@
 			n.previousVersion = !n.previousVersion
 		}
 		n.up = true
+		n.gate, n.heard = nil, map[string]admission.NodeOffers{}
 		w.nodeStep(n, n.incarnation)
 	})
 }
--- a/internal/simtest/observations.go
+++ b/internal/simtest/observations.go
@@ -36,6 +36,9 @@
 	TermBegan  Observation = "term"
 	SecondTerm Observation = "second term"
 	FifthTerm  Observation = "fifth term"
+	// ShedByFollower and ShedByLeader: a submission was turned away under overload.
+	ShedByFollower Observation = "shed by a follower"
+	ShedByLeader   Observation = "shed by the leader"
 	// CancellationConfirmed: a user was told that a job is cancelled.
 	CancellationConfirmed Observation = "cancellation confirmed"
 )
--- a/internal/simtest/users.go
+++ b/internal/simtest/users.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"switchshore.example/switchshore/internal/admission"
 	"switchshore.example/switchshore/internal/controller"
 	"switchshore.example/switchshore/wire"
 )
@@ -40,7 +41,7 @@
 type request struct {
 	job        *wire.Job
 	submission bool
-	send       func(n *node, then func(controller.Verdict))
+	send       func(n *node, claim *admission.Claim, then func(controller.Verdict))
 	done       func(controller.Verdict)
 }
 
@@ -64,8 +65,14 @@
 			w.after(w.between(1, 20), func() { finish(controller.Verdict{Status: 503}) })
 			return
 		}
+		pass := w.passGate(target, n, r)
+		if pass.refused != nil {
+			w.after(w.between(1, 20), func() { finish(*pass.refused) })
+			return
+		}
 		term := n.leadership
-		r.send(n, func(v controller.Verdict) {
+		r.send(n, pass.claim, func(v controller.Verdict) {
+			pass.note(w.now, v)
 			w.onNode(n, w.between(0, 2), func() {
 				if !v.Final() && !term.Authority(w.clock(n)) {
 					v = controller.Verdict{Status: 503}
@@ -89,13 +96,13 @@
 
 // submission is the request to take a job.
 func (w *World) submission(j *wire.Job, done func(controller.Verdict)) request {
-	return request{j, true, func(n *node, then func(controller.Verdict)) {
+	return request{j, true, func(n *node, claim *admission.Claim, then func(controller.Verdict)) {
 		if n.previousVersion && len(j.Needs) > 0 {
 			// As forwarded by a node of a later version.
 			then(controller.Verdict{Status: 503})
 			return
 		}
-		n.controller.Submit(w.clock(n), w.now, j, then)
+		n.controller.SubmitClaimed(w.clock(n), w.now, j, claim, then)
 	}, done}
 }
 
@@ -109,7 +116,7 @@
 
 // cancellation is the request to cancel a job.
 func (w *World) cancellation(j *wire.Job, done func(controller.Verdict)) request {
-	return request{j, false, func(n *node, then func(controller.Verdict)) {
+	return request{j, false, func(n *node, _ *admission.Claim, then func(controller.Verdict)) {
 		n.controller.Cancel(w.clock(n), j.ID, then)
 	}, done}
 }
@@ -124,7 +131,7 @@
 
 // question asks for a job's state.
 func (w *World) question(j *wire.Job, done func(controller.Verdict)) request {
-	return request{j, false, func(n *node, then func(controller.Verdict)) {
+	return request{j, false, func(n *node, _ *admission.Claim, then func(controller.Verdict)) {
 		then(n.controller.Query(j.ID))
 	}, done}
 }
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"switchshore.example/switchshore/internal/admission"
 	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/wire"
 )
@@ -17,6 +18,11 @@
 	State  *State
 	Cloud  *Cloud
 	Params config.Params
+	// Operator are the operators' settings of all nodes.
+	Operator config.Operator
+	// LimitWrites lets the leader keep to the write budget of the settings; without it the
+	// state service takes whatever comes.
+	LimitWrites bool
 	// FaultRate is how often faults begin, 0 for never.
 	FaultRate float64
 
@@ -78,6 +84,7 @@
 	for i := range nodes {
 		n := &node{id: i, name: fmt.Sprintf("node-%d", i), zone: t.Zones[i%len(t.Zones)], up: true, drift: (w.rng.Float64() - 0.5) * 0.001}
 		w.nodes = append(w.nodes, n)
+		n.heard = map[string]admission.NodeOffers{}
 		w.after(w.between(0, 100), func() { w.nodeStep(n, n.incarnation) })
 	}
 	return w
--- a/internal/simtest/world_nodes.go
+++ b/internal/simtest/world_nodes.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"switchshore.example/switchshore/internal/admission"
 	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/controller"
 	"switchshore.example/switchshore/internal/election"
@@ -35,6 +36,11 @@
 	refusedUntil          time.Time // the state service answers 503 to this node until then
 	frozenUntil           time.Time // stands still until then, while its clocks run on
 	previousVersion       bool      // runs the version before the dependent jobs
+	admissionOff          bool      // its operators have not turned admission control on
+	gate                  *admission.Gate
+	heard                 map[string]admission.NodeOffers // as last told by the other nodes
+	writeTokens           float64                         // changes that the write budget allows now
+	writeTokensAt         time.Time
 }
 
 // nodeStep campaigns or renews.
@@ -136,7 +142,7 @@
 		}
 		params := w.Params
 		params.State = w.stateLimits(n)
-		p := controller.New(zerolog.Nop(), params, config.Operator{}, l.Term, won, controller.Grace(w.Params.Workers))
+		p := controller.New(zerolog.Nop(), params, w.operatorOf(n), l.Term, won, controller.Grace(w.Params.Workers))
 		for _, prefix := range controller.Prefixes {
 			items, listErr := w.State.List(prefix)
 			if listErr != nil || err != nil {
@@ -197,7 +203,7 @@
 		return
 	}
 	if n.batch == nil {
-		if n.batch = p.NextBatch(min(8, w.stateLimits(n).TxnOps-1), w.rng.IntN(5)); n.batch == nil {
+		if n.batch = w.nextBatch(n, p); n.batch == nil {
 			w.onNode(n, tuning.BatchGap, func() { w.writeLoop(n, p) })
 			return
 		}
@@ -214,6 +220,25 @@
 	})
 }
 
+// nextBatch takes the changes to be written now.
+func (w *World) nextBatch(n *node, p *controller.Controller) *controller.Batch {
+	most, spare := min(8, w.stateLimits(n).TxnOps-1), w.rng.IntN(5)
+	if !w.LimitWrites {
+		return p.NextBatch(most, spare)
+	}
+	perSecond := w.stateLimits(n).WriteRPS * tuning.StoreWriteShare
+	n.writeTokens = min(n.writeTokens+perSecond*w.now.Sub(n.writeTokensAt).Seconds(), perSecond/2)
+	n.writeTokensAt = w.now
+	if n.writeTokens < 1 {
+		return nil
+	}
+	b := p.NextBatch(min(most, int(n.writeTokens)), max(0, int(n.writeTokens-perSecond/4)))
+	if b != nil {
+		n.writeTokens -= float64(len(b.Writes))
+	}
+	return b
+}
+
 func (w *World) outcome(n *node, p *controller.Controller, o store.Outcome) {
 	switch o {
 	case store.Applied:
@@ -246,6 +271,7 @@
 	}
 	now := w.clock(n)
 	authority := n.leadership.Authority(now)
+	w.updateAdmission(n, p)
 	p.Tick(now, authority)
 	if authority {
 		for _, call := range p.Plan(now) {
