Admission: accepted jobs go on while new ones are shed; measurement on loopback

Causes found by the measurement and the loopback test: acceptances filled every transaction, so that nothing accepted began or ended (now users' changes take half first while shedding, starts and completions a part of it); a follower that had not seen an accepted job turned its repeats away for 30 s (now it asks the leader about jobs that come back, 20 a second at most).

--- /dev/null
+++ b/cmd/overload/main.go
@@ -0,0 +1,161 @@
+// Command overload measures admission control: two clusters of three controllers each, as
+// processes on loopback, one with admission control on and one with it off, get the same
+// load, several times what they can take. It writes histories and a report.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"golang.org/x/sync/errgroup"
+
+	"switchshore.example/switchshore/internal/overloadtest"
+)
+
+type options struct {
+	Seconds int     `help:"How long the load lasts, at most 1200." default:"600"`
+	Rate    float64 `help:"New jobs a second, at most 100; one team submits as many again." default:"50"`
+	Seed    uint64  `help:"Seed of the load." default:"1"`
+	Out     string  `help:"Folder for binary, settings, logs, histories and the report." default:"target/overload"`
+	Report  bool    `help:"Only check the histories that are there and write the report."`
+}
+
+// Bounds of a run: it shares the machine with whatever else runs there.
+const (
+	maxSeconds = 1200
+	maxRate    = 100
+	window     = 30 * time.Second
+	warmUp     = 30 * time.Second
+	// tail is how long after the load a run may take.
+	tail = 2 * time.Minute
+)
+
+const withAdmission = `<switchshore><admission/></switchshore>`
+
+// variant is one of the two runs.
+type variant struct {
+	name     string
+	operator string
+}
+
+var variants = []variant{{"on", withAdmission}, {"off", "<switchshore/>"}}
+
+func main() {
+	var o options
+	kong.Parse(&o, kong.Name("overload"), kong.Description("Measures admission control on loopback; bounded in rate and time."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "overload:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, o options) error {
+	if o.Seconds < 60 || o.Seconds > maxSeconds || o.Rate <= 0 || o.Rate > maxRate {
+		return fmt.Errorf("--seconds must be 60 to %d, --rate above 0 and at most %d", maxSeconds, maxRate)
+	}
+	if !o.Report {
+		if err := play(ctx, o); err != nil {
+			return err
+		}
+	}
+	return report(o)
+}
+
+// play runs both variants side by side.
+func play(ctx context.Context, o options) error {
+	binary, err := filepath.Abs(filepath.Join(o.Out, "switchshore"))
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(o.Out, 0o755); err != nil {
+		return err
+	}
+	build := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/switchshore")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		return err
+	}
+	var group errgroup.Group
+	for _, v := range variants {
+		group.Go(func() error { return playVariant(ctx, o, v, binary) })
+	}
+	return group.Wait()
+}
+
+func playVariant(ctx context.Context, o options, v variant, binary string) error {
+	folder := filepath.Join(o.Out, v.name)
+	if err := os.RemoveAll(folder); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	operator := filepath.Join(folder, "operator.xml")
+	if err := os.WriteFile(operator, []byte(v.operator), 0o600); err != nil {
+		return err
+	}
+	load := time.Duration(o.Seconds) * time.Second
+	ctx, cancel := context.WithTimeout(ctx, load+tail)
+	defer cancel()
+	cluster, err := overloadtest.StartCluster(ctx, binary, operator, folder)
+	if err != nil {
+		return err
+	}
+	history, err := overloadtest.Run(ctx, cluster, overloadtest.Options{Duration: load, Rate: o.Rate, Seed: o.Seed})
+	cancel()
+	cluster.Wait()
+	if err != nil {
+		return fmt.Errorf("%s: %w", v.name, err)
+	}
+	return overloadtest.Save(historyFile(o, v), history)
+}
+
+func historyFile(o options, v variant) string {
+	return filepath.Join(o.Out, v.name, "history.parquet")
+}
+
+// report checks the histories and writes the page; a problem in the run with admission
+// control on is an error.
+func report(o options) error {
+	plan := overloadtest.Plan{Begin: warmUp, End: time.Duration(o.Seconds) * time.Second, Window: window}
+	var results []*overloadtest.Result
+	for _, v := range variants {
+		history, err := overloadtest.Load(historyFile(o, v))
+		if err != nil {
+			return err
+		}
+		result, err := overloadtest.NewResult("admission "+v.name, history, plan)
+		if err != nil {
+			return err
+		}
+		results = append(results, result)
+		fmt.Printf("%s: %d answers, Jain %.3f, %d problems\n", result.Name, len(history), result.Jain, len(result.Problems))
+		for _, r := range result.Rows {
+			fmt.Printf("  %-7s %-8s asked %6d accepted %6d given up %6d tries %7d p50 %v p95 %v\n",
+				r.Team, r.Class, r.Asked, r.Accepted, r.GivenUp, r.Tries, r.P50, r.P95)
+		}
+		for _, p := range result.Problems[:min(len(result.Problems), 10)] {
+			fmt.Println("  problem:", p)
+		}
+	}
+	file, err := os.Create(filepath.Join(o.Out, "report.html"))
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	if err := overloadtest.WriteReport(file, results); err != nil {
+		return err
+	}
+	if n := len(results[0].Problems); n > 0 {
+		return fmt.Errorf("%d problems with admission control on", n)
+	}
+	return nil
+}
--- a/internal/admission/fairshare.go
+++ b/internal/admission/fairshare.go
@@ -56,3 +56,12 @@
 	}
 	return granted
 }
+
+// MaxMin shares capacity out among equals by max-min fairness.
+func MaxMin(capacity float64, demands []float64) []float64 {
+	claimants := make([]claimant, len(demands))
+	for i, d := range demands {
+		claimants[i] = claimant{demand: d, weight: 1}
+	}
+	return divide(capacity, claimants)
+}
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"golang.org/x/time/rate"
 
 	"switchshore.example/switchshore/internal/tuning"
 )
@@ -17,6 +18,7 @@
 	started  uint64
 	offers   map[Key]*Offers
 	teams    map[string]*memory
+	checks   *rate.Limiter
 }
 
 // memory is what a node remembers of one team's jobs. Each team has a table of its own:
@@ -63,6 +65,7 @@
 // those of an earlier process.
 func NewGate(s *Settings, started uint64) *Gate {
 	g := &Gate{settings: s, started: started, offers: map[Key]*Offers{}, teams: map[string]*memory{}}
+	g.checks = rate.NewLimiter(tuning.AdmissionChecks, tuning.AdmissionChecks)
 	size := max(tuning.AdmissionRemembered/max(len(s.Teams), 1), 1)
 	for _, t := range s.Teams {
 		// The only error is a size below one.
@@ -111,6 +114,12 @@
 	return g.policy.Decide(r), g.policy.Revision
 }
 
+// MayAsk reports whether the leader may be asked about a job that was refused before: it may
+// have been accepted through another node.
+func (g *Gate) MayAsk(now time.Time, r *Request) bool {
+	return r.Waited > 0 && g.checks.AllowN(now, 1)
+}
+
 // Passed notes that a job is let through.
 func (g *Gate) Passed(r *Request) {
 	if m := g.teams[r.Key.Team]; m != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -143,3 +143,51 @@
 		}
 	}
 }
+
+// TestAdmissionElement: weights and floors are read; whatever is wrong gets one line that
+// names the field. Without the element admission control is off.
+func TestAdmissionElement(t *testing.T) {
+	p := &config.Params{
+		Teams:      []config.Team{{Name: "blue", CPUs: 8}, {Name: "green"}},
+		Objectives: []config.Objective{{Class: "urgent"}, {Class: "urgent"}, {Class: "nightly"}, {}},
+		State:      config.State{WriteRPS: 80},
+	}
+	parse := func(inner string) (*config.Operator, error) {
+		return config.ParseOperator([]byte("<switchshore>"+inner+"</switchshore>"), p)
+	}
+	o, err := parse(`<!-- on --><admission><team name="blue" weight="2" floor="0.25"><class name="urgent" weight="4"/></team></admission>`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := o.AdmissionSettings(p)
+	if len(s.Teams) != 2 || s.Teams[0].Weight != 2 || s.Teams[0].Floor != 0.25 || s.Teams[0].Classes[0].Weight != 4 || len(s.Classes) != 2 {
+		t.Errorf("%+v", s)
+	}
+	if o, err := parse(""); err != nil || o.AdmissionSettings(p) != nil {
+		t.Errorf("on without the element: %v", err)
+	}
+	for inner, field := range map[string]string{
+		`<team name="red"/>`:                            "admission/team[red]/name",
+		`<team/>`:                                       "admission/team[]/name",
+		`<team name="blue"/><team name="blue"/>`:        "admission/team[blue]",
+		`<team name="blue" weight="-1"/>`:               "admission/team[blue]/weight",
+		`<team name="blue" weight="0"/>`:                "admission/team[blue]/weight",
+		`<team name="blue" weight="1e9"/>`:              "admission/team[blue]/weight",
+		`<team name="blue" weight="NaN"/>`:              "admission/team[blue]/weight",
+		`<team name="blue" floor="2"/>`:                 "admission/team[blue]/floor",
+		`<team name="blue" floor="x"/>`:                 "admission/team[blue]/floor",
+		`<team name="blue"><class name="none"/></team>`: "admission/team[blue]/class[none]/name",
+		`<team name="blue"><class name="urgent" weight=""/><class name="urgent"/></team>`: "admission/team[blue]/class[urgent]",
+		`<crew name="blue"/>`:               "admission/crew",
+		`<team name="blue"><klass/></team>`: "admission/team[blue]/klass",
+	} {
+		if _, err := parse("<admission>" + inner + "</admission>"); err == nil || !strings.Contains(err.Error(), field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", inner, err)
+		}
+	}
+	for _, file := range []string{"<switchshore><admission>", "<switchshore/><admission/>", "<switchshore/>more"} {
+		if _, err := config.ParseOperator([]byte(file), p); err == nil {
+			t.Errorf("%s accepted", file)
+		}
+	}
+}
--- a/internal/controller/writes.go
+++ b/internal/controller/writes.go
@@ -110,12 +110,19 @@
 // spare of the rest (completions, and what can be deleted), as nobody waits
 // for those and they must not use up the budget of the others. Final states that
 // follow from others have a small part of every batch, whatever else there is,
-// and more only of what is spare. Batches must be committed one after the other,
+// and more only of what is spare. While new jobs are shed, what accepted ones need has a
+// part of every batch. Batches must be committed one after the other,
 // each followed by Committed.
 func (c *Controller) NextBatch(maxOps, spare int) *Batch {
 	b := &Batch{limit: c.valueLimit()}
 	c.dependentWrites.moveTo(b, maxOps, max(1, maxOps/tuning.DependentWritesPart))
-	c.interactiveWrites.moveTo(b, maxOps, maxOps)
+	first := maxOps
+	if c.regulator != nil && c.regulator.Shedding() {
+		// Acceptances would fill every batch, and no accepted job would begin or end.
+		first = max(1, maxOps/tuning.AdmissionBatchPart)
+		spare = max(spare, first/tuning.AdmissionBatchPart)
+	}
+	c.interactiveWrites.moveTo(b, maxOps, first)
 	c.addStartRecords(b, maxOps)
 	c.dependentWrites.moveTo(b, maxOps, spare)
 	if len(c.unsavedStarts) == 0 {
@@ -123,6 +130,7 @@
 		// elsewhere.
 		c.backgroundWrites.moveTo(b, maxOps, spare)
 	}
+	c.interactiveWrites.moveTo(b, maxOps, maxOps-first)
 	for _, w := range b.tooLong {
 		c.handleRefused(w)
 	}
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -57,6 +57,12 @@
 	return g.inner.Decide(now, r)
 }
 
+func (g *gate) mayAsk(now time.Time, r *admission.Request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inner.MayAsk(now, r)
+}
+
 func (g *gate) passed(r *admission.Request) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -85,10 +91,7 @@
 		}
 		decision, revision := n.gate.decide(now, r)
 		if !decision.Admitted {
-			rejected := controller.Shed(decision)
-			refusal := peer.Refusal(rejected.Status, rejected.Reason)
-			refusal.RetryAfter = rejected.RetryAfter
-			return n.noteAnswer(r, refusal)
+			return n.noteAnswer(r, n.shed(ctx, r, decision))
 		}
 		c.Admission.Revision = revision
 	}
@@ -97,6 +100,22 @@
 	return n.noteAnswer(r, n.forward(ctx, c))
 }
 
+// shed turns a job away. One that was turned away before may have been accepted through
+// another node: the leader is asked about it first, if there are not too many.
+func (n *Node) shed(ctx context.Context, r *admission.Request, d admission.Decision) peer.Answer {
+	if n.gate.mayAsk(time.Now(), r) {
+		ctx, cancel := context.WithTimeout(ctx, tuning.AdmissionCheckWait)
+		defer cancel()
+		if a := n.forward(ctx, peer.Call{Op: peer.OpQuery, Job: r.ID}); a.Status == http.StatusOK {
+			return a
+		}
+	}
+	rejected := controller.Shed(d)
+	refusal := peer.Refusal(rejected.Status, rejected.Reason)
+	refusal.RetryAfter = rejected.RetryAfter
+	return refusal
+}
+
 // admissionLoop tells the controller, once an interval, what the nodes are offered, and by
 // how much this loop itself comes too late.
 func (n *Node) admissionLoop(ctx context.Context, p *controller.Controller) error {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -6,12 +6,15 @@
 	"errors"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 
 	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/node"
@@ -49,6 +52,11 @@
 }
 
 func start(t *testing.T, size int) *cluster {
+	return startWith(t, size, &config.Operator{}, func(*config.Params) {})
+}
+
+// startWith starts nodes with the operators' settings given, after a change of the others.
+func startWith(t *testing.T, size int, operator *config.Operator, change func(*config.Params)) *cluster {
 	services := simtest.NewServer(wire.MachineType{
 		Name: "std-8", CPUs: 8, MemoryGB: 32, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 0.1, Zones: []string{"a"},
 	})
@@ -75,6 +83,7 @@
 				Cloud:   config.Cloud{RPS: 50, ListLagS: 0.1},
 			},
 		}
+		change(&cfg.Params)
 		for k, p := range peers {
 			if k != i {
 				cfg.Peers = append(cfg.Peers, p)
@@ -85,7 +94,7 @@
 		c.stop, c.ended = append(c.stop, stop), append(c.ended, ended)
 		go func() {
 			defer close(ended)
-			if err := node.New(zerolog.Nop(), cfg, &config.Operator{}).Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+			if err := node.New(zerolog.Nop(), cfg, operator).Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
 				t.Log(err)
 			}
 		}()
@@ -287,3 +296,66 @@
 	c.until(c.addrs[2], "GET", jobs+"/job-000001", "", 200, wire.JobDone)
 	c.until(c.addrs[2], undecided[0].method, undecided[0].path, "", 404, "")
 }
+
+// TestOverloadOverLoopback: a script floods all nodes at once. Each of them turns some of its
+// jobs away at once, with a time to come back; what is wrong gets the same answers as ever,
+// an accepted job is known, and another team's jobs are accepted when they come back.
+func TestOverloadOverLoopback(t *testing.T) {
+	c := startWith(t, 3, &config.Operator{Admission: &config.Admission{}}, func(p *config.Params) {
+		p.State.WriteRPS = 20
+		p.Teams = append(p.Teams, config.Team{Name: "green", CPUs: 8, CPUsMax: 16})
+	})
+	first := fmt.Sprintf(submission, "job-000001")
+	c.until(c.addrs[0], "POST", wire.PathJobs, first, 201, "")
+	ctx, stop := context.WithCancel(context.Background())
+	var script errgroup.Group
+	shed := make([]atomic.Int64, len(c.addrs))
+	for i, addr := range c.addrs {
+		for user := range 8 {
+			script.Go(func() error {
+				for n := 0; ctx.Err() == nil && n < 2000; n++ {
+					id := fmt.Sprintf("job-9%d%d%05d", i, user, n)
+					status, after, body := exchange(addr, "POST", wire.PathJobs, fmt.Sprintf(submission, id))
+					seconds, _ := strconv.Atoi(after)
+					switch {
+					case status == 429 && seconds >= 1 && seconds <= 10:
+						shed[i].Add(1)
+					case status != 201 && status != 503 && status != 0:
+						return fmt.Errorf("%s: %d %s, Retry-After %q", id, status, body, after)
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				return nil
+			})
+		}
+	}
+	for i, addr := range c.addrs {
+		for range 1000 {
+			if shed[i].Load() > 0 {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		if shed[i].Load() == 0 {
+			t.Errorf("node %d turns nothing away", i)
+		}
+		if status, body := send(addr, "POST", wire.PathJobs, strings.Replace(first, "blue", "nobody", 1)); status != 200 && status != 422 && status != 503 {
+			t.Errorf("an unknown team: %d %s", status, body)
+		}
+		odd := fmt.Sprintf(submission, fmt.Sprintf("job-00002%d", i))
+		if status, body := send(addr, "POST", wire.PathJobs, strings.Replace(odd, "blue", "nobody", 1)); status != 422 && status != 503 {
+			t.Errorf("an unknown team's new job: %d %s", status, body)
+		}
+		if status, body := send(addr, "POST", wire.PathJobs, odd[1:]); status != 400 {
+			t.Errorf("malformed: %d %s", status, body)
+		}
+		c.until(addr, "POST", wire.PathJobs, first, 200, "")
+		green := strings.Replace(fmt.Sprintf(submission, fmt.Sprintf("job-00001%d", i)), "blue", "green", 1)
+		c.until(addr, "POST", wire.PathJobs, green, 201, "")
+	}
+	stop()
+	if err := script.Wait(); err != nil {
+		t.Error(err)
+	}
+	c.until(c.addrs[0], "GET", wire.PathJobs+"/job-000010", "", 200, wire.JobDone)
+}
--- /dev/null
+++ b/internal/overloadtest/cluster.go
@@ -0,0 +1,256 @@
+package overloadtest
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"switchshore.example/switchshore/internal/simtest"
+	"switchshore.example/switchshore/wire"
+)
+
+const (
+	nodes = 3
+	// downtime is how long a controller that was killed is away.
+	downtime = 3 * time.Second
+	// leaseTime and reportEvery are those of the settings below.
+	leaseTime   = 17 * time.Second
+	reportEvery = time.Second
+)
+
+// settings is the platform's file of a controller. The state service is slow on purpose:
+// its write budget is what is overloaded.
+const settings = `label = "node-%d"
+domain = "a"
+client_listen = "%s"
+peer_bind = "%s"
+%s
+[services]
+cloud = "%s"
+state = "%s"
+[facts]
+initial_size = 3
+zones = ["a"]
+clock_error_ms = 250.0
+%s
+[facts.workers]
+report_s = 1.0
+lease_s = 17.0
+cancel_s = 47.0
+[facts.state]
+rps = 200.0
+write_rps = 40.0
+value_kb = 16.0
+txn_ops = 48
+[facts.cloud]
+rps = 20.0
+list_lag_s = 1.0
+[facts.resources]
+core_share = 1.0
+memory_mb = 400.0
+fd_limit = 4000
+`
+
+// teams are what the load is submitted for; the last one has neither guarantee nor limit.
+const teams = `[[facts.teams]]
+name = "blue"
+cpus = 100.0
+cpus_max = 200.0
+[[facts.teams]]
+name = "green"
+cpus = 50.0
+cpus_max = 200.0
+[[facts.teams]]
+name = "guests"
+[[facts.objectives]]
+kind = "finished"
+class = "urgent"
+within_s = 60.0
+share = 0.9
+[[facts.objectives]]
+kind = "finished"
+class = "nightly"
+within_s = 250.0
+share = 0.9
+`
+
+// Cluster is a few controllers, as processes on loopback, and the stand-ins around them.
+type Cluster struct {
+	ctx      context.Context
+	binary   string
+	operator string
+	folder   string
+	addrs    []string
+	services *simtest.Server
+
+	mu        sync.Mutex
+	jobs      map[string]*wire.Job
+	processes []*exec.Cmd
+	leader    int
+	waiting   sync.WaitGroup
+}
+
+// StartCluster starts the controllers; operator is the operators' file, or "".
+func StartCluster(ctx context.Context, binary, operator, folder string) (*Cluster, error) {
+	c := &Cluster{
+		ctx: ctx, binary: binary, operator: operator, folder: folder, jobs: map[string]*wire.Job{},
+		processes: make([]*exec.Cmd, nodes), leader: -1,
+		services: simtest.NewServer(wire.MachineType{
+			Name: "std-8", CPUs: 8, MemoryGB: 32, FetchGBPerS: 1, CacheGB: 20, Price: 1, SpotPrice: 0.4, BootS: 1, Zones: []string{"a"},
+		}),
+	}
+	c.services.Cloud.Capacity = 20
+	services, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	context.AfterFunc(ctx, func() { _ = services.Close() })
+	go func() { _ = c.services.Serve(services) }()
+	if err := c.writeSettings(services.Addr().String()); err != nil {
+		return nil, err
+	}
+	c.services.Booted = c.work
+	for i := range nodes {
+		if err := c.startNode(i); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// writeSettings gives every controller a settings file with addresses that are free.
+func (c *Cluster) writeSettings(services string) error {
+	var peers []string
+	for range nodes {
+		for _, list := range []*[]string{&c.addrs, &peers} {
+			ln, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				return err
+			}
+			*list = append(*list, ln.Addr().String())
+			defer ln.Close()
+		}
+	}
+	for i := range nodes {
+		var others strings.Builder
+		for k, addr := range peers {
+			if k != i {
+				fmt.Fprintf(&others, "[[peers]]\nlabel = \"node-%d\"\ndomain = \"a\"\naddr = \"%s\"\n", k, addr)
+			}
+		}
+		text := fmt.Sprintf(settings, i, c.addrs[i], peers[i], others.String(), services, services, teams)
+		if err := os.WriteFile(c.path(i, "toml"), []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) path(node int, ending string) string {
+	return filepath.Join(c.folder, fmt.Sprintf("node-%d.%s", node, ending))
+}
+
+// startNode starts a controller; its log is kept, and tells when it leads.
+func (c *Cluster) startNode(i int) error {
+	args := []string{"--config", c.path(i, "toml")}
+	if c.operator != "" {
+		args = append([]string{"--operator", c.operator}, args...)
+	}
+	process := exec.CommandContext(c.ctx, c.binary, args...)
+	log, err := process.StderrPipe()
+	if err != nil {
+		return err
+	}
+	kept, err := os.OpenFile(c.path(i, "log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	if err := process.Start(); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.processes[i] = process
+	c.mu.Unlock()
+	c.waiting.Add(1)
+	go func() {
+		defer c.waiting.Done()
+		defer kept.Close()
+		c.readLog(i, io.TeeReader(log, kept))
+		_ = process.Wait()
+	}()
+	return nil
+}
+
+func (c *Cluster) readLog(i int, log io.Reader) {
+	lines := bufio.NewScanner(log)
+	for lines.Scan() {
+		var entry struct {
+			Message string `json:"message"`
+		}
+		if json.Unmarshal(lines.Bytes(), &entry) == nil && entry.Message == "leading" {
+			c.mu.Lock()
+			c.leader = i
+			c.mu.Unlock()
+		}
+	}
+}
+
+// KillLeader ends the leader's process without a signal that it could handle, and starts it
+// again a little later.
+func (c *Cluster) KillLeader() error {
+	c.mu.Lock()
+	i := c.leader
+	if i < 0 {
+		c.mu.Unlock()
+		return fmt.Errorf("no controller leads")
+	}
+	process := c.processes[i]
+	c.mu.Unlock()
+	if err := process.Process.Kill(); err != nil {
+		return err
+	}
+	time.Sleep(downtime)
+	return c.startNode(i)
+}
+
+// Wait waits for the end of all processes, after the context has ended.
+func (c *Cluster) Wait() { c.waiting.Wait() }
+
+// job is what a user has uploaded for workers.
+func (c *Cluster) job(id string) *wire.Job {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.jobs[id]
+}
+
+// work plays the worker of a machine that has come up.
+func (c *Cluster) work(row wire.ListedMachine) {
+	// Commands come with the answers to reports only: nothing listens there.
+	row.Addr = "127.0.0.1:1"
+	w := simtest.NewWorker(time.Now(), row, c.services.Cloud.Type, leaseTime)
+	w.Jobs = c.job
+	w.RunTime = func(j *wire.Job) time.Duration { return time.Duration(j.EstimateS * float64(time.Second)) }
+	at := 0
+	for c.ctx.Err() == nil && c.services.Rented(row.Name) {
+		w.Advance(time.Now())
+		sent := time.Now()
+		body, _ := json.Marshal(w.Report())
+		var answer wire.ReportAnswer
+		status, _, data := exchange(c.addrs[at], "POST", wire.PathReport, body, 4*time.Second)
+		if status == 200 && json.Unmarshal(data, &answer) == nil {
+			w.Answer(time.Now(), sent, w.Session, answer)
+		} else {
+			at = (at + 1) % nodes
+		}
+		time.Sleep(reportEvery)
+	}
+}
--- a/internal/simtest/http.go
+++ b/internal/simtest/http.go
@@ -40,6 +40,13 @@
 	s.State.Advance(time.Now())
 }
 
+// Rented reports whether a machine is still rented.
+func (s *Server) Rented(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Cloud.rows[name] != nil
+}
+
 // Serve answers both services on ln.
 func (s *Server) Serve(ln net.Listener) error {
 	return (&fasthttp.Server{Handler: s.handle}).Serve(ln)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -467,6 +467,15 @@
 	// AdmissionRemembered bounds the ids that a node remembers in each of its two tables
 	// (about 150 bytes each): what is refused within a minute at some 300 a second.
 	AdmissionRemembered = 20_000
+	// AdmissionChecks is how many jobs that come back a follower asks the leader about, a
+	// second, before it turns them away again: their acceptance may have been lost on its
+	// way. A question is one look into the leader's memory; AdmissionCheckWait bounds it.
+	AdmissionChecks    = 20
+	AdmissionCheckWait = 250 * time.Millisecond
+	// AdmissionBatchPart is the part of a transaction (one over it) that users' changes take
+	// first while new jobs are shed; the same part of that goes to completions and
+	// deletions before the rest is filled.
+	AdmissionBatchPart = 2
 	// AdmissionTaskReserve is the part of ActiveTasks kept for teams that use less than
 	// their share.
 	AdmissionTaskReserve = 0.2
