--- a/cmd/overload/main.go
+++ b/cmd/overload/main.go
@@ -19,19 +19,25 @@
 )
 
 type options struct {
-	Seconds int     `help:"How long the load lasts, at most 1200." default:"600"`
-	Rate    float64 `help:"New jobs a second, at most 100; one team submits as many again." default:"50"`
-	Seed    uint64  `help:"Seed of the load." default:"1"`
-	Out     string  `help:"Folder for binary, settings, logs, histories and the report." default:"target/overload"`
-	Report  bool    `help:"Only check the histories that are there and write the report."`
+	Seconds  int     `help:"How long the load lasts, at most 1200." default:"600"`
+	Rate     float64 `help:"New jobs a second, at most 100; one team submits as many again." default:"50"`
+	Seed     uint64  `help:"Seed of the load." default:"1"`
+	Out      string  `help:"Folder for binary, settings, logs, histories and the report." default:"target/overload"`
+	Machines int     `help:"Measure a fleet of that many machines with work for all of them, instead of an overload; at most 4000." default:"0"`
+	Report   bool    `help:"Only check the histories that are there and write the report."`
 }
 
 // Bounds of a run: it shares the machine with whatever else runs there.
 const (
-	maxSeconds = 1200
-	maxRate    = 100
-	window     = 30 * time.Second
-	warmUp     = 30 * time.Second
+	maxSeconds  = 1200
+	maxRate     = 100
+	maxMachines = 4000
+	window      = 30 * time.Second
+	warmUp      = 30 * time.Second
+	// cpus are those of a stand-in machine; surplus is the work offered to a fleet,
+	// related to what it can do.
+	cpus    = 8
+	surplus = 1.3
 	// tail is how long after the load a run may take.
 	tail = 2 * time.Minute
 )
@@ -61,6 +67,12 @@
 	if o.Seconds < 60 || o.Seconds > maxSeconds || o.Rate <= 0 || o.Rate > maxRate {
 		return fmt.Errorf("--seconds must be 60 to %d, --rate above 0 and at most %d", maxSeconds, maxRate)
 	}
+	if o.Machines < 0 || o.Machines > maxMachines {
+		return fmt.Errorf("--machines must be at most %d", maxMachines)
+	}
+	if o.Machines > 0 {
+		return measureFleet(ctx, o)
+	}
 	if !o.Report {
 		if err := play(ctx, o); err != nil {
 			return err
@@ -71,26 +83,51 @@
 
 // play runs both variants side by side.
 func play(ctx context.Context, o options) error {
-	binary, err := filepath.Abs(filepath.Join(o.Out, "switchshore"))
+	binary, err := build(ctx, o)
 	if err != nil {
 		return err
 	}
-	if err := os.MkdirAll(o.Out, 0o755); err != nil {
-		return err
-	}
-	build := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/switchshore")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		return err
+	load := overloadtest.Options{
+		Duration: time.Duration(o.Seconds) * time.Second, Rate: o.Rate, Seed: o.Seed, Tasks: 2, TaskTime: 4 * time.Second, Flood: true,
 	}
+	size := overloadtest.Size{Machines: 40, WriteRPS: 40, ReportEvery: time.Second}
 	var group errgroup.Group
 	for _, v := range variants {
-		group.Go(func() error { return playVariant(ctx, o, v, binary) })
+		group.Go(func() error { return playVariant(ctx, o, v, binary, load, size) })
 	}
 	return group.Wait()
 }
 
-func playVariant(ctx context.Context, o options, v variant, binary string) error {
+// build makes the controllers' binary.
+func build(ctx context.Context, o options) (string, error) {
+	binary, err := filepath.Abs(filepath.Join(o.Out, "switchshore"))
+	if err != nil {
+		return "", err
+	}
+	if err := os.MkdirAll(o.Out, 0o755); err != nil {
+		return "", err
+	}
+	command := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/switchshore")
+	command.Stderr = os.Stderr
+	return binary, command.Run()
+}
+
+// measureFleet keeps a fleet of the given size busy and tells what that costs the controllers.
+func measureFleet(ctx context.Context, o options) error {
+	binary, err := build(ctx, o)
+	if err != nil {
+		return err
+	}
+	const taskTime, tasks = 60 * time.Second, 1000
+	perSecond := float64(o.Machines*cpus) / taskTime.Seconds() / tasks
+	load := overloadtest.Options{
+		Duration: time.Duration(o.Seconds) * time.Second, Rate: perSecond * surplus, Seed: o.Seed, Tasks: tasks, TaskTime: taskTime,
+	}
+	size := overloadtest.Size{Machines: o.Machines, WriteRPS: 180, ReportEvery: 3 * time.Second}
+	return playVariant(ctx, o, variants[0], binary, load, size)
+}
+
+func playVariant(ctx context.Context, o options, v variant, binary string, load overloadtest.Options, size overloadtest.Size) error {
 	folder := filepath.Join(o.Out, v.name)
 	if err := os.RemoveAll(folder); err != nil {
 		return err
@@ -102,19 +139,22 @@
 	if err := os.WriteFile(operator, []byte(v.operator), 0o600); err != nil {
 		return err
 	}
-	load := time.Duration(o.Seconds) * time.Second
-	ctx, cancel := context.WithTimeout(ctx, load+tail)
+	ctx, cancel := context.WithTimeout(ctx, load.Duration+tail)
 	defer cancel()
-	cluster, err := overloadtest.StartCluster(ctx, binary, operator, folder)
+	cluster, err := overloadtest.StartCluster(ctx, binary, operator, folder, size)
 	if err != nil {
 		return err
 	}
-	history, err := overloadtest.Run(ctx, cluster, overloadtest.Options{Duration: load, Rate: o.Rate, Seed: o.Seed})
+	time.AfterFunc(load.Duration-time.Second, func() { fmt.Println(v.name, "sockets:", cluster.Sockets()) })
+	history, err := overloadtest.Run(ctx, cluster, load)
 	cancel()
 	cluster.Wait()
 	if err != nil {
 		return fmt.Errorf("%s: %w", v.name, err)
 	}
+	for _, u := range cluster.Usage() {
+		fmt.Printf("%s node %d: %v of processor time, %d MiB at most\n", v.name, u.Node, u.CPU.Round(time.Second), u.MaxMemory)
+	}
 	return overloadtest.Save(historyFile(o, v), history)
 }
 
@@ -139,8 +179,8 @@
 		results = append(results, result)
 		fmt.Printf("%s: %d answers, Jain %.3f, %d problems\n", result.Name, len(history), result.Jain, len(result.Problems))
 		for _, r := range result.Rows {
-			fmt.Printf("  %-7s %-8s asked %6d accepted %6d given up %6d tries %7d p50 %v p95 %v\n",
-				r.Team, r.Class, r.Asked, r.Accepted, r.GivenUp, r.Tries, r.P50, r.P95)
+			fmt.Printf("  %-7s %-8s asked %6d accepted %6d given up %6d tries %7d p50 %v p95 %v, done %d p50 %v\n",
+				r.Team, r.Class, r.Asked, r.Accepted, r.GivenUp, r.Tries, r.P50, r.P95, r.Done, r.DoneP50)
 		}
 		for _, p := range result.Problems[:min(len(result.Problems), 10)] {
 			fmt.Println("  problem:", p)
--- a/internal/admission/regulator_test.go
+++ b/internal/admission/regulator_test.go
@@ -13,7 +13,6 @@
 type overload struct {
 	*Regulator
 	at     time.Time
-	nodes  []NodeOffers
 	counts map[Key]*Offers
 	number int
 }
--- a/internal/overloadtest/check.go
+++ b/internal/overloadtest/check.go
@@ -116,6 +116,9 @@
 	Tries                    int
 	// P50 and P95 are times from the first try to the acceptance, of those accepted.
 	P50, P95 time.Duration
+	// Done are those heard to be done, DoneP50 the time from the first try to that.
+	Done    int
+	DoneP50 time.Duration
 }
 
 // Summarise sums a history up by team and class.
@@ -123,7 +126,8 @@
 	rows := map[string]*Row{}
 	waits := map[string][]time.Duration{}
 	first := map[string]time.Duration{}
-	over := map[string]bool{}
+	done := map[string][]time.Duration{}
+	accepted := map[string]bool{}
 	for i := range history {
 		a := &history[i]
 		r := rows[a.key()]
@@ -140,17 +144,21 @@
 			r.GivenUp++
 		case a.Op == OpSubmit:
 			r.Tries++
-			if a.accepted() && !over[a.Job] {
-				over[a.Job] = true
+			if a.accepted() && !accepted[a.Job] {
+				accepted[a.Job] = true
 				r.Accepted++
 				waits[a.key()] = append(waits[a.key()], a.at()-first[a.Job])
 			}
+		case a.State == wire.JobDone:
+			// Users ask no more once they have heard it.
+			done[a.key()] = append(done[a.key()], a.at()-first[a.Job])
 		}
 	}
 	var sorted []Row
 	for _, key := range slices.Sorted(maps.Keys(rows)) {
 		r := rows[key]
 		r.P50, r.P95 = quantile(waits[key], 0.5), quantile(waits[key], 0.95)
+		r.Done, r.DoneP50 = len(done[key]), quantile(done[key], 0.5)
 		sorted = append(sorted, *r)
 	}
 	return sorted
--- a/internal/overloadtest/cluster.go
+++ b/internal/overloadtest/cluster.go
@@ -12,8 +12,11 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"switchshore.example/switchshore/internal/simtest"
 	"switchshore.example/switchshore/wire"
 )
@@ -22,11 +25,27 @@
 	nodes = 3
 	// downtime is how long a controller that was killed is away.
 	downtime = 3 * time.Second
-	// leaseTime and reportEvery are those of the settings below.
-	leaseTime   = 17 * time.Second
-	reportEvery = time.Second
+	// leaseTime is that of the settings below.
+	leaseTime = 17 * time.Second
 )
 
+// Size is what a cluster is made for.
+type Size struct {
+	// Machines bounds the machines of the stand-in cloud.
+	Machines int
+	// WriteRPS is what the state service is said to take, in changes a second.
+	WriteRPS float64
+	// ReportEvery is the workers' interval.
+	ReportEvery time.Duration
+}
+
+// Usage is what a controller's process has used in the end.
+type Usage struct {
+	Node      int
+	CPU       time.Duration
+	MaxMemory int64 // MiB
+}
+
 // settings is the platform's file of a controller. The state service is slow on purpose:
 // its write budget is what is overloaded.
 const settings = `label = "node-%d"
@@ -43,12 +62,12 @@
 clock_error_ms = 250.0
 %s
 [facts.workers]
-report_s = 1.0
+report_s = %g
 lease_s = 17.0
 cancel_s = 47.0
 [facts.state]
 rps = 200.0
-write_rps = 40.0
+write_rps = %g
 value_kb = 16.0
 txn_ops = 48
 [facts.cloud]
@@ -56,8 +75,8 @@
 list_lag_s = 1.0
 [facts.resources]
 core_share = 1.0
-memory_mb = 400.0
-fd_limit = 4000
+memory_mb = 450.0
+fd_limit = 12000
 `
 
 // teams are what the load is submitted for; the last one has neither guarantee nor limit.
@@ -88,6 +107,7 @@
 	ctx      context.Context
 	binary   string
 	operator string
+	size     Size
 	folder   string
 	addrs    []string
 	services *simtest.Server
@@ -96,19 +116,20 @@
 	jobs      map[string]*wire.Job
 	processes []*exec.Cmd
 	leader    int
+	usage     []Usage
 	waiting   sync.WaitGroup
 }
 
 // StartCluster starts the controllers; operator is the operators' file, or "".
-func StartCluster(ctx context.Context, binary, operator, folder string) (*Cluster, error) {
+func StartCluster(ctx context.Context, binary, operator, folder string, size Size) (*Cluster, error) {
 	c := &Cluster{
-		ctx: ctx, binary: binary, operator: operator, folder: folder, jobs: map[string]*wire.Job{},
+		ctx: ctx, binary: binary, operator: operator, folder: folder, size: size, jobs: map[string]*wire.Job{},
 		processes: make([]*exec.Cmd, nodes), leader: -1,
 		services: simtest.NewServer(wire.MachineType{
 			Name: "std-8", CPUs: 8, MemoryGB: 32, FetchGBPerS: 1, CacheGB: 20, Price: 1, SpotPrice: 0.4, BootS: 1, Zones: []string{"a"},
 		}),
 	}
-	c.services.Cloud.Capacity = 20
+	c.services.Cloud.Capacity = size.Machines / 2 // spot and ordinary ones
 	services, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -147,7 +168,8 @@
 				fmt.Fprintf(&others, "[[peers]]\nlabel = \"node-%d\"\ndomain = \"a\"\naddr = \"%s\"\n", k, addr)
 			}
 		}
-		text := fmt.Sprintf(settings, i, c.addrs[i], peers[i], others.String(), services, services, teams)
+		text := fmt.Sprintf(settings, i, c.addrs[i], peers[i], others.String(), services, services, teams,
+			c.size.ReportEvery.Seconds(), c.size.WriteRPS)
 		if err := os.WriteFile(c.path(i, "toml"), []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -186,10 +208,41 @@
 		defer kept.Close()
 		c.readLog(i, io.TeeReader(log, kept))
 		_ = process.Wait()
+		c.noteUsage(i, process.ProcessState)
 	}()
 	return nil
 }
 
+// noteUsage keeps what a process that has ended has used.
+func (c *Cluster) noteUsage(i int, state *os.ProcessState) {
+	usage := Usage{Node: i, CPU: state.UserTime() + state.SystemTime()}
+	if r, ok := state.SysUsage().(*syscall.Rusage); ok {
+		usage.MaxMemory = r.Maxrss / 1024
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.usage = append(c.usage, usage)
+}
+
+// Sockets is the number of files and sockets that each controller has open now.
+func (c *Cluster) Sockets() []int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	open := make([]int, nodes)
+	for i, process := range c.processes {
+		files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", process.Process.Pid))
+		open[i] = len(files)
+	}
+	return open
+}
+
+// Usage is what the processes that have ended have used.
+func (c *Cluster) Usage() []Usage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.usage
+}
+
 func (c *Cluster) readLog(i int, log io.Reader) {
 	lines := bufio.NewScanner(log)
 	for lines.Scan() {
@@ -239,18 +292,19 @@
 	w := simtest.NewWorker(time.Now(), row, c.services.Cloud.Type, leaseTime)
 	w.Jobs = c.job
 	w.RunTime = func(j *wire.Job) time.Duration { return time.Duration(j.EstimateS * float64(time.Second)) }
-	at := 0
+	client := &fasthttp.Client{MaxConnsPerHost: 1}
+	at := int(w.LeaseEnd.UnixNano() % nodes)
 	for c.ctx.Err() == nil && c.services.Rented(row.Name) {
 		w.Advance(time.Now())
 		sent := time.Now()
 		body, _ := json.Marshal(w.Report())
 		var answer wire.ReportAnswer
-		status, _, data := exchange(c.addrs[at], "POST", wire.PathReport, body, 4*time.Second)
+		status, _, data := exchange(client, c.addrs[at], "POST", wire.PathReport, body, 4*time.Second)
 		if status == 200 && json.Unmarshal(data, &answer) == nil {
 			w.Answer(time.Now(), sent, w.Session, answer)
 		} else {
 			at = (at + 1) % nodes
 		}
-		time.Sleep(reportEvery)
+		time.Sleep(c.size.ReportEvery)
 	}
 }
--- a/internal/overloadtest/load.go
+++ b/internal/overloadtest/load.go
@@ -25,6 +25,11 @@
 	// submits as many again.
 	Rate float64
 	Seed uint64
+	// Tasks and TaskTime are those of a job.
+	Tasks    int
+	TaskTime time.Duration
+	// Flood lets a script of one team submit as many jobs again, and two teams in bursts.
+	Flood bool
 }
 
 const (
@@ -53,6 +58,8 @@
 // load is a run's users.
 type load struct {
 	cluster *Cluster
+	options Options
+	client  *fasthttp.Client
 	begun   time.Time
 	users   *semaphore.Weighted
 	waiting sync.WaitGroup
@@ -66,19 +73,27 @@
 // Run plays the load against the cluster, kills the leader once half way, and returns the
 // history.
 func Run(ctx context.Context, c *Cluster, o Options) ([]Answer, error) {
-	l := &load{cluster: c, begun: time.Now(), users: semaphore.NewWeighted(maxUsers), rng: rand.New(rand.NewPCG(o.Seed, 7))}
+	l := &load{
+		cluster: c, options: o, client: &fasthttp.Client{MaxConnsPerHost: maxUsers}, begun: time.Now(),
+		users: semaphore.NewWeighted(maxUsers), rng: rand.New(rand.NewPCG(o.Seed, 7)),
+	}
 	for _, s := range streams {
+		if s.part == 1 && !o.Flood {
+			continue
+		}
 		l.waiting.Add(1)
 		go func() {
 			defer l.waiting.Done()
 			l.submitStream(ctx, s, o.Rate*s.part, o.Duration)
 		}()
 	}
-	l.waiting.Add(1)
-	go func() {
-		defer l.waiting.Done()
-		l.submitBursts(ctx, o.Duration)
-	}()
+	if o.Flood {
+		l.waiting.Add(1)
+		go func() {
+			defer l.waiting.Done()
+			l.submitBursts(ctx, o.Duration)
+		}()
+	}
 	if err := pause(ctx, o.Duration/2); err != nil {
 		return nil, err
 	}
@@ -120,8 +135,8 @@
 	id := fmt.Sprintf("job-%06d", l.number)
 	l.mu.Unlock()
 	j := &wire.Job{
-		ID: id, Class: s.class, Team: s.team, Kind: wire.KindArray, Priority: s.priority, Tasks: 2, CPUs: 1,
-		MemoryGB: 1, Image: "img", ImageGB: 0.1, Spot: true, EstimateS: 4,
+		ID: id, Class: s.class, Team: s.team, Kind: wire.KindArray, Priority: s.priority, Tasks: l.options.Tasks, CPUs: 1,
+		MemoryGB: 1, Image: "img", ImageGB: 0.1, Spot: true, EstimateS: l.options.TaskTime.Seconds(),
 	}
 	l.cluster.mu.Lock()
 	l.cluster.jobs[id] = j
@@ -193,7 +208,7 @@
 // send carries a request out and notes the answer.
 func (l *load) send(a Answer, method, path string, body []byte, timeout time.Duration) Answer {
 	sent := time.Now()
-	status, retryAfter, data := exchange(l.cluster.addrs[a.Node], method, path, body, timeout)
+	status, retryAfter, data := exchange(l.client, l.cluster.addrs[a.Node], method, path, body, timeout)
 	a.SentMS, a.TookMS = sent.Sub(l.begun).Milliseconds(), time.Since(sent).Milliseconds()
 	a.Status, a.RetryAfter = int32(status), int32(retryAfter)
 	var s wire.JobStatus
@@ -234,14 +249,14 @@
 }
 
 // exchange sends a request to an address on loopback; status 0 stands for no answer.
-func exchange(addr, method, path string, body []byte, timeout time.Duration) (status, retryAfter int, data []byte) {
+func exchange(client *fasthttp.Client, addr, method, path string, body []byte, timeout time.Duration) (status, retryAfter int, data []byte) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + addr + path)
 	request.SetBody(body)
-	if err := fasthttp.DoTimeout(request, response, timeout); err != nil {
+	if err := client.DoTimeout(request, response, timeout); err != nil {
 		return 0, 0, nil
 	}
 	retryAfter, _ = strconv.Atoi(string(response.Header.Peek(fasthttp.HeaderRetryAfter)))
--- a/internal/overloadtest/report.go
+++ b/internal/overloadtest/report.go
@@ -118,8 +118,8 @@
 <h1>Admission under overload</h1>
 {{range .}}<h2>{{.Name}}</h2>
 <p>Jain's fairness index over the teams: {{printf "%.3f" .Jain}}. Problems found by the checker: {{len .Problems}}.</p>
-<table><tr><th>team</th><th>class</th><th>asked</th><th>accepted</th><th>given up</th><th>tries</th><th>p50</th><th>p95</th></tr>
-{{range .Rows}}<tr><td>{{.Team}}</td><td>{{.Class}}</td><td>{{.Asked}}</td><td>{{.Accepted}}</td><td>{{.GivenUp}}</td><td>{{.Tries}}</td><td>{{.P50}}</td><td>{{.P95}}</td></tr>
+<table><tr><th>team</th><th>class</th><th>asked</th><th>accepted</th><th>given up</th><th>tries</th><th>p50</th><th>p95</th><th>done</th><th>done p50</th></tr>
+{{range .Rows}}<tr><td>{{.Team}}</td><td>{{.Class}}</td><td>{{.Asked}}</td><td>{{.Accepted}}</td><td>{{.GivenUp}}</td><td>{{.Tries}}</td><td>{{.P50}}</td><td>{{.P95}}</td><td>{{.Done}}</td><td>{{.DoneP50}}</td></tr>
 {{end}}</table>
 <p><img src="{{.Accepted}}" alt="accepted a second, by team"> <img src="{{.Waits}}" alt="time to acceptance"></p>
 {{if .Problems}}<ul>{{range .Problems}}<li>{{.}}</li>{{end}}</ul>{{end}}
