--- a/internal/config/admission.go
+++ b/internal/config/admission.go
@@ -50,7 +50,7 @@
 		return nil, nil
 	}
 	if len(e.Other) > 0 {
-		return nil, &FieldError{"admission/" + e.Other[0].XMLName.Local, "unknown element"}
+		return nil, &FieldError{Field: "admission/" + e.Other[0].XMLName.Local, Reason: "unknown element"}
 	}
 	teams := make([]string, len(p.Teams))
 	for i, t := range p.Teams {
@@ -67,7 +67,7 @@
 		}
 		for _, class := range team.Classes {
 			if len(class.Classes) > 0 {
-				return nil, &FieldError{field + "/class", "unknown element"}
+				return nil, &FieldError{Field: field + "/class", Reason: "unknown element"}
 			}
 		}
 	}
@@ -84,11 +84,11 @@
 		at := fmt.Sprintf("%s[%s]", field, e.Name)
 		switch {
 		case len(e.Other) > 0:
-			return nil, &FieldError{at + "/" + e.Other[0].XMLName.Local, "unknown element"}
+			return nil, &FieldError{Field: at + "/" + e.Other[0].XMLName.Local, Reason: "unknown element"}
 		case !slices.Contains(known, e.Name):
-			return nil, &FieldError{at + "/name", "not in the platform's settings"}
+			return nil, &FieldError{Field: at + "/name", Reason: "not in the platform's settings"}
 		case seen[e.Name]:
-			return nil, &FieldError{at, "given twice"}
+			return nil, &FieldError{Field: at, Reason: "given twice"}
 		}
 		seen[e.Name] = true
 		weight, err := amount(at+"/weight", e.Weight)
@@ -96,14 +96,14 @@
 			return nil, err
 		}
 		if e.Weight != "" && weight == 0 || weight > maxWeight {
-			return nil, &FieldError{at + "/weight", fmt.Sprintf("must be above 0 and at most %d", maxWeight)}
+			return nil, &FieldError{Field: at + "/weight", Reason: fmt.Sprintf("must be above 0 and at most %d", maxWeight)}
 		}
 		floor, err := amount(at+"/floor", e.Floor)
 		if err != nil {
 			return nil, err
 		}
 		if floors += floor; floors > most {
-			return nil, &FieldError{at + "/floor", fmt.Sprintf("floors must not sum up to more than %g", most)}
+			return nil, &FieldError{Field: at + "/floor", Reason: fmt.Sprintf("floors must not sum up to more than %g", most)}
 		}
 		shares = append(shares, AdmissionShare{Name: e.Name, Weight: weight, Floor: floor})
 	}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -4,15 +4,12 @@
 	"fmt"
 	"math"
 	"net"
+
+	"switchshore.example/switchshore/wire"
 )
 
 // FieldError is a setting that is missing or wrong.
-type FieldError struct {
-	Field  string
-	Reason string
-}
-
-func (e *FieldError) Error() string { return "field " + e.Field + ": " + e.Reason }
+type FieldError = wire.FieldError
 
 // checker keeps the first error of the settings that it looks at.
 type checker struct {
@@ -21,7 +18,7 @@
 
 func (c *checker) need(ok bool, field, reason string) {
 	if !ok && c.err == nil {
-		c.err = &FieldError{field, reason}
+		c.err = &FieldError{Field: field, Reason: reason}
 	}
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 	if most != math.Trunc(most) || most > math.MaxInt32 {
-		return nil, &FieldError{"machines/max", "must be a whole number"}
+		return nil, &FieldError{Field: "machines/max", Reason: "must be a whole number"}
 	}
 	o.MaxMachines = int(most)
 	if o.KeepIdleS, err = amount("machines/keepIdleSeconds", file.KeepIdleS); err != nil {
@@ -113,9 +113,9 @@
 	value, err := strconv.ParseFloat(text, 64)
 	switch {
 	case err != nil || math.IsNaN(value) || math.IsInf(value, 0):
-		return 0, &FieldError{field, "not a number"}
+		return 0, &FieldError{Field: field, Reason: "not a number"}
 	case value < 0:
-		return 0, &FieldError{field, "must not be negative"}
+		return 0, &FieldError{Field: field, Reason: "must not be negative"}
 	}
 	return value, nil
 }
--- a/internal/controller/completion.go
+++ b/internal/controller/completion.go
@@ -78,7 +78,7 @@
 		Float64("deadline_s", *j.DeadlineS).Float64("done_s", now.Sub(j.submitted).Seconds()).
 		Float64("first_start_s", j.firstStartAt.Sub(j.submitted).Seconds()).
 		Float64("last_start_s", j.lastStartAt.Sub(j.submitted).Seconds()).
-		Float64("estimate_s", j.EstimateS).Float64("corrected_s", c.estimate(j)).
+		Float64("estimate_s", j.EstimateS).Float64("corrected_s", c.runTimes.estimate(j)).
 		Int("interrupted", len(j.progress)).Int("failures", j.failures).Msg("deadline missed")
 }
 
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -135,7 +135,7 @@
 	case j.openNeeds == 0:
 		c.live[j] = struct{}{}
 		j.fillReady()
-		c.countInflow(now, j.since, float64(j.Tasks)*j.CPUs*c.estimate(j))
+		c.countInflow(now, j.since, float64(j.Tasks)*j.CPUs*c.runTimes.estimate(j))
 		c.changed = true
 	}
 }
@@ -190,7 +190,7 @@
 	for _, t := range c.offers {
 		rate = max(rate, t.FetchGBPerS)
 	}
-	takes := c.estimate(j)
+	takes := c.runTimes.estimate(j)
 	if rate > 0 {
 		takes += sched.FetchTime(j.ImageGB, rate)
 	}
--- a/internal/controller/estimates.go
+++ b/internal/controller/estimates.go
@@ -28,14 +28,12 @@
 	return estimate
 }
 
-func (c *Controller) estimate(j *job) float64 { return c.runTimes.estimate(j) }
-
 // urgency orders jobs of one priority: by slack, and by the time that all
 // machines together would need for the rest of the job, as under a backlog
 // more jobs end in time when the small ones go first. Jobs without a time to
 // meet follow.
 func (c *Controller) urgency(now time.Time, j *job, cpus float64) float64 {
-	work := float64(j.Tasks-j.done.Len()) * j.CPUs * c.estimate(j) / max(cpus, 1)
+	work := float64(j.Tasks-j.done.Len()) * j.CPUs * c.runTimes.estimate(j) / max(cpus, 1)
 	if slack, ok := c.slack(now, j); ok {
 		return slack + tuning.SizeWeight*work
 	}
@@ -48,7 +46,7 @@
 	if !a.runningAt.IsZero() {
 		ran += now.Sub(a.runningAt).Seconds()
 	}
-	return max(0, c.estimate(a.job)-ran)
+	return max(0, c.runTimes.estimate(a.job)-ran)
 }
 
 // horizon is the time within which a job's tasks should begin: a part of its
@@ -68,7 +66,7 @@
 // remainingEstimate is the run time by its estimate of a job's ready tasks, of the one with
 // the least progress, or of a whole task if none is ready.
 func (c *Controller) remainingEstimate(j *job) float64 {
-	whole := c.estimate(j)
+	whole := c.runTimes.estimate(j)
 	if len(j.progress) == 0 || len(j.ready) == 0 || len(j.ready) > len(j.progress) {
 		return whole
 	}
--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -147,7 +147,7 @@
 		r := j.constraints()
 		r.Job, r.Team, r.Level, r.Guaranteed = j.ID, j.Team, j.level, guaranteed[j]
 		r.Urgency, r.Tasks = c.urgency(now, j, cpus), len(j.ready)
-		r.EstimateS, r.Image, r.ImageGB = c.estimate(j), j.Image, j.ImageGB
+		r.EstimateS, r.Image, r.ImageGB = c.runTimes.estimate(j), j.Image, j.ImageGB
 		if j.failures > 0 {
 			// A job whose tasks fail tries one at a time.
 			r.Tasks = 1
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -167,7 +167,7 @@
 	if !ok {
 		return false
 	}
-	best, victims := p.cheapestRoom(r, p.machinesByName, p.coming, p.candidates)
+	best, victims := p.cheapestRoom(r)
 	if best == nil {
 		// No machine would have it even then: stopping for nothing, pass
 		// after pass, would keep the team's other work from ever ending.
@@ -192,7 +192,7 @@
 func (p *preemption) makeRoomWithinLimit(r *sched.Ready, j *job, t *team) ([]victim, bool) {
 	var own []victim
 	for t.CPUsMax-t.used.CPUs+p.leaving[j.Team] < j.CPUs {
-		v, ok := ownVictim(r, p.machinesByName, p.candidates)
+		v, ok := p.ownVictim(r)
 		if !ok {
 			p.undoStops(own)
 			return nil, false
@@ -215,11 +215,11 @@
 }
 
 // ownVictim finds the task of the job's own team that loses least.
-func ownVictim(r *sched.Ready, machines []*machine, candidates map[*machine][]victim) (victim, bool) {
+func (p *preemption) ownVictim(r *sched.Ready) (victim, bool) {
 	var best victim
 	found := false
-	for _, m := range machines {
-		for _, v := range candidates[m] {
+	for _, m := range p.machinesByName {
+		for _, v := range p.candidates[m] {
 			if v.job.Team == r.Team && v.job.level > r.Level && !v.stop && (!found || v.lostS < best.lostS) {
 				best, found = v, true
 			}
@@ -238,12 +238,12 @@
 
 // cheapestRoom finds the machine that can make room for one task at the least
 // loss, and whom to stop there; no one, if room is coming anyway.
-func (c *Controller) cheapestRoom(r *sched.Ready, machines []*machine, coming map[*machine]sched.Resources, candidates map[*machine][]victim) (*machine, []victim) {
+func (p *preemption) cheapestRoom(r *sched.Ready) (*machine, []victim) {
 	var best *machine
 	var victims []victim
 	least := math.Inf(1)
-	for _, m := range machines {
-		room, ok := coming[m]
+	for _, m := range p.machinesByName {
+		room, ok := p.coming[m]
 		if !ok || m.avoid[r.Job] || !r.Allowed(m.placement()) {
 			continue
 		}
@@ -252,8 +252,8 @@
 		}
 		// A start on a machine without the image is late all the same.
 		var chosen []victim
-		sum := c.fetchTime(m, r) * r.Need.CPUs * tuning.PreemptFetchWeight
-		for _, v := range candidates[m] {
+		sum := p.fetchTime(m, r) * r.Need.CPUs * tuning.PreemptFetchWeight
+		for _, v := range p.candidates[m] {
 			if v.stop || v.job.level <= r.Level {
 				continue
 			}
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -11,8 +11,8 @@
 	"switchshore.example/switchshore/wire"
 )
 
-// Verdict is the outcome of a request: a status for the user and, if Wait is
-// set, the need to wait for the state service first.
+// Verdict is the outcome of a request: a status for the user, with a job's state or why the
+// request is refused.
 type Verdict struct {
 	Status int
 	State  string
--- a/internal/overloadtest/load.go
+++ b/internal/overloadtest/load.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/semaphore"
 
+	"switchshore.example/switchshore/internal/store"
 	"switchshore.example/switchshore/internal/tuning"
 	"switchshore.example/switchshore/wire"
 )
@@ -94,7 +95,7 @@
 			l.submitBursts(ctx, o.Duration)
 		}()
 	}
-	if err := pause(ctx, o.Duration/2); err != nil {
+	if err := store.Pause(ctx, o.Duration/2); err != nil {
 		return nil, err
 	}
 	if err := c.KillLeader(); err != nil {
@@ -111,7 +112,7 @@
 		l.mu.Lock()
 		gap := time.Duration(l.rng.ExpFloat64() / perSecond * float64(time.Second))
 		l.mu.Unlock()
-		if pause(ctx, gap) != nil {
+		if store.Pause(ctx, gap) != nil {
 			return
 		}
 		l.user(ctx, l.newJob(s), -1)
@@ -120,7 +121,7 @@
 
 // submitBursts lets two teams submit at all controllers at the same moments, each job at two.
 func (l *load) submitBursts(ctx context.Context, d time.Duration) {
-	for pause(ctx, burstEvery) == nil && time.Since(l.begun) < d {
+	for store.Pause(ctx, burstEvery) == nil && time.Since(l.begun) < d {
 		for i := range burstJobs {
 			j := l.newJob(streams[1+2*(i%2)])
 			l.user(ctx, j, i%nodes)
@@ -167,7 +168,7 @@
 				l.note(Answer{SentMS: time.Since(l.begun).Milliseconds(), Op: OpGiveUp, Job: j.ID, Team: j.Team, Class: j.Class})
 				return
 			}
-			_ = pause(ctx, wait)
+			_ = store.Pause(ctx, wait)
 		}
 	}()
 }
@@ -186,7 +187,7 @@
 // follow asks about an accepted job until it is over.
 func (l *load) follow(ctx context.Context, j *wire.Job) {
 	for ctx.Err() == nil {
-		if pause(ctx, 5*time.Second+l.jitter(time.Second)) != nil {
+		if store.Pause(ctx, 5*time.Second+l.jitter(time.Second)) != nil {
 			return
 		}
 		a := l.send(Answer{Op: OpQuery, Job: j.ID, Team: j.Team, Class: j.Class, Node: l.anyNode()}, http.MethodGet, wire.PathJobs+"/"+j.ID, nil, 2*time.Second)
@@ -237,17 +238,6 @@
 	return time.Duration(l.rng.Int64N(int64(most)))
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 // exchange sends a request to an address on loopback; status 0 stands for no answer.
 func exchange(client *fasthttp.Client, addr, method, path string, body []byte, timeout time.Duration) (status, retryAfter int, data []byte) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -46,48 +46,66 @@
 	defer stop()
 	out := newLineWriter(conn)
 	go out.run(ctx)
-	l.mu.Lock()
-	l.out = out
-	l.waiting = map[uint64]chan Answer{}
-	l.mu.Unlock()
+	l.attach(out)
 	go func() {
 		defer cancel()
-		for ctx.Err() == nil {
-			self := l.hub.Self()
-			if out.write(&line{Heartbeat: &self}) != nil {
-				return
-			}
-			select {
-			case <-ctx.Done():
-			case <-l.poke:
-			case <-time.After(tuning.HeartbeatInterval):
-			}
-		}
+		l.sendHeartbeats(ctx, out)
 	}()
-	_ = readLines(conn, func(m *line) {
-		switch {
-		case m.Heartbeat != nil:
-			l.hub.recordHeartbeat(m.Heartbeat)
-			l.setUp(true)
-		case m.Answer != nil:
-			l.mu.Lock()
-			ch := l.waiting[m.Answer.ID]
-			delete(l.waiting, m.Answer.ID)
-			l.mu.Unlock()
-			if ch != nil {
-				ch <- *m.Answer
-			}
-		}
-	})
+	_ = readLines(conn, l.receive)
 	l.setUp(false)
 	_ = conn.Close()
+	l.detach()
+}
+
+// attach lets calls go out over a connection.
+func (l *link) attach(out *lineWriter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.out = out
+	l.waiting = map[uint64]chan Answer{}
+}
+
+// detach ends all calls that wait for an answer over a connection that has ended.
+func (l *link) detach() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.out = nil
 	for id, ch := range l.waiting {
 		delete(l.waiting, id)
 		close(ch)
 	}
-	l.mu.Unlock()
+}
+
+// sendHeartbeats sends one at every interval, and at once when poked, until the context ends.
+func (l *link) sendHeartbeats(ctx context.Context, out *lineWriter) {
+	for ctx.Err() == nil {
+		self := l.hub.Self()
+		if out.write(&line{Heartbeat: &self}) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-l.poke:
+		case <-time.After(tuning.HeartbeatInterval):
+		}
+	}
+}
+
+// receive takes in a line of the peer.
+func (l *link) receive(m *line) {
+	switch {
+	case m.Heartbeat != nil:
+		l.hub.recordHeartbeat(m.Heartbeat)
+		l.setUp(true)
+	case m.Answer != nil:
+		l.mu.Lock()
+		ch := l.waiting[m.Answer.ID]
+		delete(l.waiting, m.Answer.ID)
+		l.mu.Unlock()
+		if ch != nil {
+			ch <- *m.Answer
+		}
+	}
 }
 
 func (l *link) setUp(up bool) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -12,6 +12,8 @@
 	"github.com/goccy/go-json"
 	"github.com/rs/zerolog"
 
+	"switchshore.example/switchshore/internal/admission"
+	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/simtest"
 	"switchshore.example/switchshore/wire"
 )
@@ -46,6 +48,35 @@
 	}
 }
 
+// TestPoliciesComeFromLeaders: a policy counts only from a peer that leads, and of its own
+// term; what a peer is offered counts under the name of its link, and only while it is heard.
+func TestPoliciesComeFromLeaders(t *testing.T) {
+	h := NewHub(zerolog.Nop(), []config.Peer{{Name: "n1"}, {Name: "n2"}})
+	h.Superseded = func(uint64) {}
+	var heard []uint64
+	h.Policy = func(p admission.Policy) { heard = append(heard, p.Term) }
+	for _, text := range []string{
+		`{"node":"n1","term":4,"leads":true,"policy":{"term":4,"revision":9}}`,
+		`{"node":"n1","term":5,"grace":true,"policy":{"term":5,"revision":9}}`,
+		`{"node":"n1","term":6,"leads":true,"policy":{"term":7,"revision":9}}`,
+		`{"node":"n2","term":8,"leads":true}`,
+		`{"node":"n1","offers":{"node":"n2","started":3,"offers":[{"team":"blue","class":"c","count":7}]}}`,
+		`{"node":"else","offers":{"node":"n2","started":3}}`,
+	} {
+		var b Heartbeat
+		if err := json.Unmarshal([]byte(text), &b); err != nil {
+			t.Fatal(err)
+		}
+		h.recordHeartbeat(&b)
+	}
+	if len(heard) != 1 || heard[0] != 4 {
+		t.Errorf("policies of terms %v", heard)
+	}
+	if offers := h.Offers(); len(offers) != 1 || offers[0].Node != "n1" || offers[0].Offers[0].Count != 7 {
+		t.Errorf("%+v", offers)
+	}
+}
+
 // TestPreviousVersionsLines: what nodes of the version before the dependent jobs
 // send is understood in full, and read by those nodes as they wrote it when sent
 // back; a dependent job is refused by them, not carried out without what it needs.
--- a/wire/validate.go
+++ b/wire/validate.go
@@ -55,7 +55,7 @@
 	return true
 }
 
-// FieldError is a field of a submission that is missing or invalid.
+// FieldError is a field of a submission, or of settings, that is missing or invalid.
 type FieldError struct {
 	Field  string
 	Reason string
