Without a leader, a node tells what the settings rule out

Need: 422 for team and limit must be the same at every node at any time. A job of an unknown team was always forwarded, and got 503 without a leader; now the leader is asked first, as it knows accepted jobs, and the settings decide otherwise. Test: the loopback test of overload.

--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -85,10 +85,10 @@
 	if a, mine := n.local(ctx, c); mine {
 		return n.noteAnswer(r, a)
 	}
+	if why := controller.AboveLimit(n.gate.teams, job); why != "" {
+		return n.rejectForGood(ctx, c, why)
+	}
 	if isNew {
-		if why := controller.AboveLimit(n.gate.teams, job); why != "" {
-			return peer.Refusal(http.StatusUnprocessableEntity, why)
-		}
 		decision, revision := n.gate.decide(now, r)
 		if !decision.Admitted {
 			return n.noteAnswer(r, n.shed(ctx, r, decision))
@@ -100,6 +100,15 @@
 	return n.noteAnswer(r, n.forward(ctx, c))
 }
 
+// rejectForGood answers a submission that the settings rule out: as the leader says, which
+// knows whether the job was accepted under other settings, or without one by the settings alone.
+func (n *Node) rejectForGood(ctx context.Context, c peer.Call, why string) peer.Answer {
+	if a := n.forward(ctx, c); a.Status != http.StatusServiceUnavailable {
+		return a
+	}
+	return peer.Refusal(http.StatusUnprocessableEntity, why)
+}
+
 // shed turns a job away. One that was turned away before may have been accepted through
 // another node: the leader is asked about it first, if there are not too many.
 func (n *Node) shed(ctx context.Context, r *admission.Request, d admission.Decision) peer.Answer {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -357,5 +357,15 @@
 	if err := script.Wait(); err != nil {
 		t.Error(err)
 	}
+	// Without a leader a node still tells what the settings rule out.
+	c.services.SetDown(true)
+	odd := strings.Replace(fmt.Sprintf(submission, "job-000030"), "blue", "nobody", 1)
+	c.until(c.addrs[0], "POST", wire.PathJobs, fmt.Sprintf(submission, "job-000031"), 503, "")
+	for _, addr := range c.addrs {
+		if status, body := send(addr, "POST", wire.PathJobs, odd); status != 422 {
+			t.Errorf("an unknown team without a leader: %d %s", status, body)
+		}
+	}
+	c.services.SetDown(false)
 	c.until(c.addrs[0], "GET", wire.PathJobs+"/job-000010", "", 200, wire.JobDone)
 }
