--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -184,8 +184,12 @@
 		g.Passed(r)
 	}
 	g.Refused(begin, request("nobody", "job-3"))
-	if n := g.Remembered(); n > 2*tuning.AdmissionRemembered {
-		t.Errorf("%d ids remembered", n)
+	remembered := 0
+	for _, m := range g.teams {
+		remembered += m.refused.Len() + m.passed.Len()
+	}
+	if remembered > 2*tuning.AdmissionRemembered {
+		t.Errorf("%d ids remembered", remembered)
 	}
 	later := begin.Add(20 * time.Second)
 	if r := request("green", "job-1"); !g.Arrive(later, r) || r.Waited != 20*time.Second {
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -148,15 +148,6 @@
 	return n
 }
 
-// Remembered is the number of jobs that the node remembers.
-func (g *Gate) Remembered() int {
-	n := 0
-	for _, m := range g.teams {
-		n += m.refused.Len() + m.passed.Len()
-	}
-	return n
-}
-
 // count counts a request into the offers of its key.
 func count(offers map[Key]*Offers, r *Request) {
 	o := offers[r.Key]
--- a/internal/admission/regulator.go
+++ b/internal/admission/regulator.go
@@ -43,7 +43,8 @@
 	shedding bool
 	budget   float64 // jobs to be admitted, a second
 	capacity float64 // changes that the state service takes, a second
-	pressure float64
+	pressure float64 // as of the last look, and of the one before
+	earlier  float64
 	admitted int
 	written  int64
 
@@ -195,6 +196,7 @@
 		r.capacity += (min(drained, r.settings.WriteRate) - r.capacity) * tuning.AdmissionCapacityWeight
 	}
 	r.written = load.Written
+	r.earlier = r.pressure
 	delay := float64(load.Waiting) / max(r.capacity, 1)
 	r.pressure = max(delay/tuning.AdmissionTargetDelay.Seconds(), load.Lag.Seconds()/tuning.AdmissionTargetLag.Seconds())
 }
@@ -210,7 +212,8 @@
 	}
 	switch {
 	case !r.shedding:
-		if r.pressure < tuning.AdmissionShedPressure {
+		// One look alone may come after a process that stood still, or in a short burst.
+		if min(r.pressure, r.earlier) < tuning.AdmissionShedPressure {
 			return
 		}
 		r.shedding = true
--- a/internal/admission/regulator_test.go
+++ b/internal/admission/regulator_test.go
@@ -160,12 +160,18 @@
 	}
 }
 
-// TestLagSheds: a leader that doesn't get round to its work sheds, too.
+// TestLagSheds: a leader that doesn't get round to its work sheds, too; one that has stood
+// still once doesn't.
 func TestLagSheds(t *testing.T) {
 	r := NewRegulator(settings(), 1, begin)
-	r.Update(begin, begin, Load{}, nil)
-	r.Update(begin.Add(time.Second), begin, Load{Lag: 4 * tuning.AdmissionTargetLag}, nil)
-	if !r.Shedding() {
-		t.Error("doesn't shed")
+	for i, c := range []struct {
+		lag  time.Duration
+		want bool
+	}{{0, false}, {30 * time.Second, false}, {0, false}, {4 * tuning.AdmissionTargetLag, false}, {4 * tuning.AdmissionTargetLag, true}} {
+		at := begin.Add(time.Duration(i) * time.Minute)
+		r.Update(at, at, Load{Lag: c.lag}, nil)
+		if r.Shedding() != c.want {
+			t.Errorf("%d: shedding %v", i, !c.want)
+		}
 	}
 }
