Starts have a part of every transaction: under overload nothing accepted began

Cause: users' changes filled transactions before records of starts. Change: users' changes fill half first, then starts, then the rest, always (TestAcceptedJobsGoOnUnderOverload fails without it: 0 starts in 8 changes). Ruled out: a queue of its own for acceptances, as final states wait there, too.

--- a/internal/controller/admission_test.go
+++ b/internal/controller/admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -79,21 +80,29 @@
 	}
 }
 
-// TestAcceptedJobsGoOnWhileShedding: acceptances that wait must not fill every transaction,
-// or nothing that was accepted would begin.
-func TestAcceptedJobsGoOnWhileShedding(t *testing.T) {
-	l := sheddingLeader(t)
-	l.report("m1", 1)
-	l.pass(time.Second)
-	b := l.NextBatch(8, 0)
-	starts := 0
-	for _, w := range b.Writes {
-		if w.Put != "" && w.Put[:2] == "s/" {
-			starts++
-		}
+// TestAcceptedJobsGoOnUnderOverload: acceptances that wait must not fill every transaction,
+// or nothing that was accepted would begin; whether or not admission control is on.
+func TestAcceptedJobsGoOnUnderOverload(t *testing.T) {
+	off := newLeader(t, 5, start, map[string]json.RawMessage{})
+	off.submit("job-1")
+	for i := range 120 {
+		off.Submit(off.now, off.now, spec(fmt.Sprint("job-7", i)), func(controller.Verdict) {})
 	}
-	if starts == 0 {
-		t.Errorf("no start among %d changes", len(b.Writes))
+	for name, l := range map[string]*leader{"on": sheddingLeader(t), "off": off} {
+		l.report("m1", 1)
+		l.pass(time.Second)
+		starts, acceptances := 0, 0
+		for _, w := range l.NextBatch(8, 0).Writes {
+			if strings.HasPrefix(w.Put, "s/") {
+				starts++
+			}
+			if strings.HasPrefix(w.Put, "j/") {
+				acceptances++
+			}
+		}
+		if starts != 1 || acceptances != 7 {
+			t.Errorf("admission %s: %d starts and %d acceptances in a transaction of 8", name, starts, acceptances)
+		}
 	}
 }
 
--- a/internal/controller/writes.go
+++ b/internal/controller/writes.go
@@ -110,27 +110,28 @@
 // spare of the rest (completions, and what can be deleted), as nobody waits
 // for those and they must not use up the budget of the others. Final states that
 // follow from others have a small part of every batch, whatever else there is,
-// and more only of what is spare. While new jobs are shed, what accepted ones need has a
-// part of every batch. Batches must be committed one after the other,
-// each followed by Committed.
+// and more only of what is spare. Users' changes take no more than a part of it while
+// starts wait, and while new jobs are shed also while the rest does: acceptances would
+// otherwise fill every batch, and no accepted job would begin or end. Batches must be
+// committed one after the other, each followed by Committed.
 func (c *Controller) NextBatch(maxOps, spare int) *Batch {
 	b := &Batch{limit: c.valueLimit()}
 	c.dependentWrites.moveTo(b, maxOps, max(1, maxOps/tuning.DependentWritesPart))
-	first := maxOps
-	if c.regulator != nil && c.regulator.Shedding() {
-		// Acceptances would fill every batch, and no accepted job would begin or end.
-		first = max(1, maxOps/tuning.AdmissionBatchPart)
-		spare = max(spare, first/tuning.AdmissionBatchPart)
-	}
+	first := max(1, maxOps/tuning.InteractiveWritesPart)
 	c.interactiveWrites.moveTo(b, maxOps, first)
 	c.addStartRecords(b, maxOps)
+	if c.regulator != nil && c.regulator.Shedding() {
+		spare = max(spare, first/tuning.InteractiveWritesPart)
+	} else {
+		c.interactiveWrites.moveTo(b, maxOps, maxOps)
+	}
 	c.dependentWrites.moveTo(b, maxOps, spare)
 	if len(c.unsavedStarts) == 0 {
 		// A record may be deleted only once what it still stood for is stored
 		// elsewhere.
 		c.backgroundWrites.moveTo(b, maxOps, spare)
 	}
-	c.interactiveWrites.moveTo(b, maxOps, maxOps-first)
+	c.interactiveWrites.moveTo(b, maxOps, maxOps)
 	for _, w := range b.tooLong {
 		c.handleRefused(w)
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -88,6 +88,10 @@
 	// which follow from those of other jobs may always take: thousands of them
 	// must neither wait for ever nor hold up what users wait for.
 	DependentWritesPart = 4
+	// InteractiveWritesPart is the part of a transaction (one over it) that changes which
+	// users wait for fill before records of starts; while new jobs are shed, the same part
+	// of that goes to completions and deletions before the rest is filled.
+	InteractiveWritesPart = 2
 	// DependencySteps bounds the jobs that one look lets go on, cancels or weighs
 	// after others have ended: about a millisecond of work.
 	DependencySteps = 500
@@ -472,10 +476,6 @@
 	// way. A question is one look into the leader's memory; AdmissionCheckWait bounds it.
 	AdmissionChecks    = 20
 	AdmissionCheckWait = 250 * time.Millisecond
-	// AdmissionBatchPart is the part of a transaction (one over it) that users' changes take
-	// first while new jobs are shed; the same part of that goes to completions and
-	// deletions before the rest is filled.
-	AdmissionBatchPart = 2
 	// AdmissionTaskReserve is the part of ActiveTasks kept for teams that use less than
 	// their share.
 	AdmissionTaskReserve = 0.2
