--- a/internal/overloadtest/report.go
+++ b/internal/overloadtest/report.go
@@ -91,6 +91,7 @@
 // draw plots lines as a PNG image that stands within the page itself.
 func draw(title, x, y string, lines map[string]plotter.XYs) (template.URL, error) {
 	p := plot.New()
+	p.Legend.Top, p.Legend.Left = true, true
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
 	for i, name := range slices.Sorted(maps.Keys(lines)) {
 		line, err := plotter.NewLine(lines[name])
