Fleet measurement: enough work for all machines

Cause: with 1.3 times the work that the machines do in the time, 2,056 sockets showed that less than half of 4,000 were rented; the planner counts a minute of backlog as no reason to rent. Change: three times.

--- a/cmd/overload/main.go
+++ b/cmd/overload/main.go
@@ -37,7 +37,7 @@
 	// cpus are those of a stand-in machine; surplus is the work offered to a fleet,
 	// related to what it can do.
 	cpus    = 8
-	surplus = 1.3
+	surplus = 3
 	// tail is how long after the load a run may take.
 	tail = 2 * time.Minute
 )
