Loopback test of overload: enough users to fill the queue on any machine

Fleet measurement: room for the whole fleet among spot machines, as the planner hardly rents the dear ones.

--- a/cmd/overload/main.go
+++ b/cmd/overload/main.go
@@ -90,7 +90,7 @@
 	load := overloadtest.Options{
 		Duration: time.Duration(o.Seconds) * time.Second, Rate: o.Rate, Seed: o.Seed, Tasks: 2, TaskTime: 4 * time.Second, Flood: true,
 	}
-	size := overloadtest.Size{Machines: 40, WriteRPS: 40, ReportEvery: time.Second}
+	size := overloadtest.Size{Machines: 20, WriteRPS: 40, ReportEvery: time.Second}
 	var group errgroup.Group
 	for _, v := range variants {
 		group.Go(func() error { return playVariant(ctx, o, v, binary, load, size) })
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -311,10 +311,12 @@
 	var script errgroup.Group
 	shed := make([]atomic.Int64, len(c.addrs))
 	for i, addr := range c.addrs {
-		for user := range 8 {
+		// So many that the queue is full however fast the machine is: each waits for his
+		// acceptance, and only then submits again.
+		for user := range 40 {
 			script.Go(func() error {
 				for n := 0; ctx.Err() == nil && n < 2000; n++ {
-					id := fmt.Sprintf("job-9%d%d%05d", i, user, n)
+					id := fmt.Sprintf("job-9%d%02d%05d", i, user, n)
 					status, after, body := exchange(addr, "POST", wire.PathJobs, fmt.Sprintf(submission, id))
 					seconds, _ := strconv.Atoi(after)
 					switch {
--- a/internal/overloadtest/cluster.go
+++ b/internal/overloadtest/cluster.go
@@ -31,7 +31,7 @@
 
 // Size is what a cluster is made for.
 type Size struct {
-	// Machines bounds the machines of the stand-in cloud.
+	// Machines bounds the stand-in cloud's machines of each kind, spot and ordinary.
 	Machines int
 	// WriteRPS is what the state service is said to take, in changes a second.
 	WriteRPS float64
@@ -129,7 +129,7 @@
 			Name: "std-8", CPUs: 8, MemoryGB: 32, FetchGBPerS: 1, CacheGB: 20, Price: 1, SpotPrice: 0.4, BootS: 1, Zones: []string{"a"},
 		}),
 	}
-	c.services.Cloud.Capacity = size.Machines / 2 // spot and ordinary ones
+	c.services.Cloud.Capacity = size.Machines
 	services, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
