--- a/internal/admission/regulator.go
+++ b/internal/admission/regulator.go
@@ -206,10 +206,6 @@
 func (r *Regulator) adjustBudget(now time.Time, passed time.Duration) {
 	admitted := float64(r.admitted) / max(passed.Seconds(), tuning.AdmissionInterval.Seconds())
 	r.admitted = 0
-	total := 0.0
-	for _, d := range r.demands {
-		total += d.count
-	}
 	switch {
 	case !r.shedding:
 		// One look alone may come after a process that stood still, or in a short burst.
@@ -225,7 +221,7 @@
 		r.budget = r.budget*tuning.AdmissionGrowth + tuning.AdmissionStep
 	}
 	r.budget = min(max(r.budget, tuning.AdmissionLeastBudget), r.settings.WriteRate)
-	if r.pressure > 1 || total > r.budget {
+	if r.pressure > 1 || r.offered() > r.budget {
 		r.calmSince = now
 	}
 	if now.Sub(r.calmSince) >= tuning.AdmissionCalm {
@@ -363,9 +359,14 @@
 
 // Summary returns them as of the last update.
 func (r *Regulator) Summary() Summary {
-	s := Summary{Shedding: r.shedding, Pressure: r.pressure, Budget: r.budget, Shed: r.policy.Shares}
+	return Summary{Shedding: r.shedding, Pressure: r.pressure, Budget: r.budget, Offered: r.offered(), Shed: r.policy.Shares}
+}
+
+// offered is what is submitted under all keys, a second.
+func (r *Regulator) offered() float64 {
+	total := 0.0
 	for _, d := range r.demands {
-		s.Offered += d.count
+		total += d.count
 	}
-	return s
+	return total
 }
--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -9,17 +9,16 @@
 	"switchshore.example/switchshore/wire"
 )
 
-// AdmissionRequest is a submission as admission control looks at it, and whether its
-// team is known.
-func AdmissionRequest(s *admission.Settings, spec *wire.Job) (*admission.Request, bool) {
-	key, known := s.Key(spec.Team, spec.Class)
+// AdmissionRequest is a submission as admission control looks at it.
+func AdmissionRequest(s *admission.Settings, spec *wire.Job) *admission.Request {
+	key, _ := s.Key(spec.Team, spec.Class)
 	return &admission.Request{
 		ID:        spec.ID,
 		Key:       key,
 		Level:     wire.Level(spec.Priority),
 		Tasks:     spec.Tasks,
 		Dependent: len(spec.Needs) > 0,
-	}, known
+	}
 }
 
 // checkAdmission returns why a job that could be accepted is not taken now, or nil.
@@ -27,7 +26,7 @@
 	if c.regulator == nil {
 		return nil
 	}
-	request, _ := AdmissionRequest(c.admissionSettings, spec)
+	request := AdmissionRequest(c.admissionSettings, spec)
 	tasks := admission.TaskLoad{All: c.active, Team: c.activeByTeam[spec.Team]}
 	decision := c.regulator.Admit(now, request, claim, tasks)
 	if decision.Admitted {
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -45,7 +45,7 @@
 
 // arrive counts a submission. isNew is false if the job may have been accepted already.
 func (g *gate) arrive(now time.Time, job *wire.Job) (r *admission.Request, isNew bool) {
-	r, _ = controller.AdmissionRequest(g.settings, job)
+	r = controller.AdmissionRequest(g.settings, job)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return r, g.inner.Arrive(now, r)
@@ -120,9 +120,7 @@
 		}
 	}
 	rejected := controller.Shed(d)
-	refusal := peer.Refusal(rejected.Status, rejected.Reason)
-	refusal.RetryAfter = rejected.RetryAfter
-	return refusal
+	return refusal(rejected.Status, rejected.Reason, rejected.RetryAfter)
 }
 
 // admissionLoop tells the controller, once an interval, what the nodes are offered, and by
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -228,11 +228,16 @@
 	return peer.Refusal(http.StatusServiceUnavailable, "state service does not answer"), true
 }
 
+// refusal is an answer other than success, with the time after which to come back.
+func refusal(status int, why string, retryAfter int) peer.Answer {
+	a := peer.Refusal(status, why)
+	a.RetryAfter = retryAfter
+	return a
+}
+
 func verdictAnswer(c peer.Call, v controller.Verdict) peer.Answer {
 	if v.Status/100 != 2 {
-		refusal := peer.Refusal(v.Status, v.Why)
-		refusal.RetryAfter = v.RetryAfter
-		return refusal
+		return refusal(v.Status, v.Why, v.RetryAfter)
 	}
 	return peer.Answer{Status: v.Status, Job: &wire.JobStatus{ID: c.Job, State: v.State, Done: v.Done, Running: v.Run}}
 }
--- a/internal/simtest/world_admission.go
+++ b/internal/simtest/world_admission.go
@@ -71,7 +71,7 @@
 	operator := w.operatorOf(target)
 	settings := operator.AdmissionSettings(&w.Params)
 	p := &passage{world: w, gate: gate}
-	p.request, _ = controller.AdmissionRequest(settings, r.job)
+	p.request = controller.AdmissionRequest(settings, r.job)
 	isNew := gate.Arrive(w.now, p.request)
 	p.claim = &admission.Claim{WaitedMS: p.request.Waited.Milliseconds()}
 	if target == leader {
