Overload measurement: accepted jobs are judged by the time that their class is promised

The planner lets a backlog wait for half of each job's slack: nightly jobs have 250 s, the checker had 120 s.

The run lasts as long as the longest objective after the load; every accepted job must be over by then, as before, and each class must keep its objective, counted from the acceptance, which is new.

--- a/cmd/overload/main.go
+++ b/cmd/overload/main.go
@@ -38,8 +38,8 @@
 	// related to what it can do.
 	cpus    = 8
 	surplus = 3
-	// tail is how long after the load a run may take.
-	tail = 2 * time.Minute
+	// pollSlack is how long after its end a user may hear of it.
+	pollSlack = 30 * time.Second
 )
 
 const withAdmission = `<switchshore><admission/></switchshore>`
@@ -139,7 +139,7 @@
 	if err := os.WriteFile(operator, []byte(v.operator), 0o600); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, load.Duration+tail)
+	ctx, cancel := context.WithTimeout(ctx, load.Duration+overloadtest.LongestObjective()+pollSlack)
 	defer cancel()
 	cluster, err := overloadtest.StartCluster(ctx, binary, operator, folder, size)
 	if err != nil {
@@ -165,7 +165,7 @@
 // report checks the histories and writes the page; a problem in the run with admission
 // control on is an error.
 func report(o options) error {
-	plan := overloadtest.Plan{Begin: warmUp, End: time.Duration(o.Seconds) * time.Second, Window: window}
+	plan := overloadtest.Plan{Begin: warmUp, End: time.Duration(o.Seconds) * time.Second, Window: window, Objectives: overloadtest.Objectives}
 	var results []*overloadtest.Result
 	for _, v := range variants {
 		history, err := overloadtest.Load(historyFile(o, v))
--- a/internal/overloadtest/check.go
+++ b/internal/overloadtest/check.go
@@ -17,14 +17,46 @@
 // class with offers is to make progress in each Window in between.
 type Plan struct {
 	Begin, End, Window time.Duration
+	// Objectives are what is promised for accepted jobs.
+	Objectives []Objective
 }
 
 // Check returns what is wrong with a history: a job without exactly one final answer, one
 // that is forgotten or goes back, an accepted one that is not done in the end, a class that
-// makes no progress.
+// makes no progress, or of which fewer jobs are done in time than promised.
 func Check(history []Answer, plan Plan) []string {
 	problems := checkJobs(history)
-	return append(problems, checkProgress(history, plan)...)
+	problems = append(problems, checkProgress(history, plan)...)
+	for _, o := range plan.Objectives {
+		problems = append(problems, checkObjective(history, o)...)
+	}
+	return problems
+}
+
+// checkObjective finds a class of which too few of the accepted jobs were done in time, counted
+// from the acceptance: before it no controller knows the job.
+func checkObjective(history []Answer, o Objective) []string {
+	acceptedAt := map[string]time.Duration{}
+	over := map[string]bool{}
+	inTime := 0
+	for i := range history {
+		a := &history[i]
+		known, accepted := acceptedAt[a.Job]
+		switch {
+		case a.Class != o.Class:
+		case a.accepted() && !accepted:
+			acceptedAt[a.Job] = a.at()
+		case accepted && a.State == wire.JobDone && !over[a.Job]:
+			over[a.Job] = true
+			if a.at()-known <= o.Within {
+				inTime++
+			}
+		}
+	}
+	if float64(inTime) >= o.Share*float64(len(acceptedAt)) {
+		return nil
+	}
+	return []string{fmt.Sprintf("%s: %d of %d accepted jobs done within %v, promised is %g of them", o.Class, inTime, len(acceptedAt), o.Within, o.Share)}
 }
 
 // jobHistory is what a job's user has been told so far.
--- a/internal/overloadtest/cluster.go
+++ b/internal/overloadtest/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -90,18 +92,33 @@
 cpus_max = 200.0
 [[facts.teams]]
 name = "guests"
-[[facts.objectives]]
-kind = "finished"
-class = "urgent"
-within_s = 60.0
-share = 0.9
-[[facts.objectives]]
-kind = "finished"
-class = "nightly"
-within_s = 250.0
-share = 0.9
 `
 
+// Objective is what the settings promise for a class: the share of its jobs that are done within
+// a time.
+type Objective struct {
+	Class  string
+	Within time.Duration
+	Share  float64
+}
+
+// Objectives are those of all classes of the load.
+var Objectives = []Objective{{"urgent", time.Minute, 0.9}, {"nightly", 250 * time.Second, 0.9}}
+
+// LongestObjective is the time within which the last accepted jobs are promised to be done.
+func LongestObjective() time.Duration {
+	return slices.MaxFunc(Objectives, func(a, b Objective) int { return cmp.Compare(a.Within, b.Within) }).Within
+}
+
+// objectives is the part of the platform's file that names them.
+func objectives() string {
+	var text strings.Builder
+	for _, o := range Objectives {
+		fmt.Fprintf(&text, "[[facts.objectives]]\nkind = \"finished\"\nclass = \"%s\"\nwithin_s = %g\nshare = %g\n", o.Class, o.Within.Seconds(), o.Share)
+	}
+	return text.String()
+}
+
 // Cluster is a few controllers, as processes on loopback, and the stand-ins around them.
 type Cluster struct {
 	ctx      context.Context
@@ -168,7 +185,7 @@
 				fmt.Fprintf(&others, "[[peers]]\nlabel = \"node-%d\"\ndomain = \"a\"\naddr = \"%s\"\n", k, addr)
 			}
 		}
-		text := fmt.Sprintf(settings, i, c.addrs[i], peers[i], others.String(), services, services, teams,
+		text := fmt.Sprintf(settings, i, c.addrs[i], peers[i], others.String(), services, services, teams+objectives(),
 			c.size.ReportEvery.Seconds(), c.size.WriteRPS)
 		if err := os.WriteFile(c.path(i, "toml"), []byte(text), 0o600); err != nil {
 			return err
