--- a/internal/config/admission.go
+++ b/internal/config/admission.go
@@ -52,11 +52,7 @@
 	if len(e.Other) > 0 {
 		return nil, &FieldError{Field: "admission/" + e.Other[0].XMLName.Local, Reason: "unknown element"}
 	}
-	teams := make([]string, len(p.Teams))
-	for i, t := range p.Teams {
-		teams[i] = t.Name
-	}
-	shares, err := parseShares("admission/team", e.Teams, teams, tuning.AdmissionReserved)
+	shares, err := parseShares("admission/team", e.Teams, p.teamNames(), tuning.AdmissionReserved)
 	if err != nil {
 		return nil, err
 	}
@@ -110,6 +106,15 @@
 	return shares, nil
 }
 
+// teamNames are the names of the teams.
+func (p *Params) teamNames() []string {
+	names := make([]string, len(p.Teams))
+	for i, t := range p.Teams {
+		names[i] = t.Name
+	}
+	return names
+}
+
 // Classes are the names of the classes that the objectives name, each once.
 func (p *Params) Classes() []string {
 	var names []string
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -10,6 +10,8 @@
 	"os"
 	"strconv"
 	"strings"
+
+	"switchshore.example/switchshore/internal/drain"
 )
 
 // Operator is the operators' own settings. The zero value of a field means
@@ -23,6 +25,8 @@
 	HorizonS float64
 	// Admission turns fair admission under overload on; nil is off.
 	Admission *Admission
+	// Drains turns drains of machines on, with the budgets of the teams; nil is off.
+	Drains *drain.Budgets
 }
 
 // operatorFile is the file as it is written; a field left out is empty.
@@ -33,6 +37,7 @@
 	HorizonS    string   `xml:"machines>planHorizonSeconds"`
 
 	Admission *admissionElement `xml:"admission"`
+	Drains    *drainsElement    `xml:"drains"`
 }
 
 // LoadOperator reads the operators' file for a deployment; an empty path gives the defaults.
@@ -75,6 +80,9 @@
 	if o.Admission, err = file.Admission.parse(p); err != nil {
 		return nil, err
 	}
+	if o.Drains, err = file.Drains.parse(p); err != nil {
+		return nil, err
+	}
 	return o, nil
 }
 
--- a/internal/controller/completion.go
+++ b/internal/controller/completion.go
@@ -18,6 +18,7 @@
 	j.ready = nil
 	delete(c.unsavedCompletions, j)
 	delete(c.live, j)
+	c.countOver(j)
 	f := final{finalDone, int32(j.done.Len())}
 	if state == jobCancelled {
 		f.how = finalCancelled
@@ -55,6 +56,7 @@
 		return
 	}
 	c.changed = true
+	c.countDone(j, index)
 	if j.state != jobActive {
 		return
 	}
--- a/internal/controller/consolidate.go
+++ b/internal/controller/consolidate.go
@@ -102,7 +102,7 @@
 
 // empty lets the tasks of a machine save and stop; it takes no more work.
 func (c *Controller) empty(m *machine) {
-	m.draining = true
+	m.cordon(consolidated)
 	for _, a := range m.attempts {
 		a.stop, a.grace = true, a.job.SaveS
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -57,6 +57,7 @@
 	directCalls
 	lastRuns
 	demandHistory
+	drainState
 }
 
 // lastRuns are the times at which periodic work was done last, or may be done next.
@@ -95,6 +96,7 @@
 		dependencyGraph:    dependencyGraph{dependents: map[string][]*job{}},
 		loading:            loading{pieces: map[string][]byte{}},
 		cloudState:         newCloudState(),
+		drainState:         newDrainState(o.Drains, p.Workers),
 	}
 	for _, t := range p.Teams {
 		c.teams[t.Name] = &team{Team: withLimits(t)}
--- a/internal/controller/delivery.go
+++ b/internal/controller/delivery.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"switchshore.example/switchshore/internal/tuning"
 	"switchshore.example/switchshore/wire"
 )
 
@@ -34,9 +33,5 @@
 			m.ignoredAnswers = 0
 		}
 	}
-}
-
-// losesAnswers reports whether what the machine is told seems not to get there.
-func (m *machine) losesAnswers() bool {
-	return !m.answersLostAt.IsZero() || m.ignoredAnswers >= tuning.IgnoredAnswers
+	m.judgeDelivery()
 }
--- a/internal/controller/direct.go
+++ b/internal/controller/direct.go
@@ -46,7 +46,7 @@
 	for ; next < len(c.callQueue) && c.callsInFlight < c.maxCalls(); next++ {
 		m := c.callQueue[next]
 		m.queued = false
-		if m.calling || m.addr == "" || now.Before(m.callAfter) || !m.confirmed || m.losesAnswers() || c.isSilent(now, m) || c.machines[m.id] != m {
+		if m.calling || m.addr == "" || now.Before(m.callAfter) || !m.confirmed || m.cordonedFor(unanswered) || c.isSilent(now, m) || c.machines[m.id] != m {
 			// The answer to the next report carries it.
 			continue
 		}
@@ -125,7 +125,7 @@
 		// it: a new worker has taken the place of the one known, and may have
 		// carried the starts out.
 		c.log.Info().Str("machine", m.id).Msg("worker replaced, releasing")
-		m.replaced = true
+		m.cordon(replaced)
 		return
 	}
 	if r.Token != c.term || m.isStale(r) {
--- /dev/null
+++ b/internal/controller/drain_replace.go
@@ -0,0 +1,147 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"switchshore.example/switchshore/internal/drain"
+	"switchshore.example/switchshore/internal/provision"
+	"switchshore.example/switchshore/internal/tuning"
+)
+
+// replacementCount counts, by machine type, what a batch needs and what there is for it.
+type replacementCount struct {
+	needed, ready, coming map[string]int
+}
+
+// countReplacements counts the replacements of a batch. Those that will take no work are left
+// out; one is ready only once it has reported and takes work.
+func (c *Controller) countReplacements(now time.Time, b *drain.Batch) replacementCount {
+	n := replacementCount{map[string]int{}, map[string]int{}, map[string]int{}}
+	for _, name := range b.Machines {
+		if m := c.machines[name]; m != nil {
+			n.needed[m.machineType]++
+		}
+	}
+	for _, name := range b.Replacements {
+		m := c.machines[name]
+		switch {
+		case m == nil || m.releasing || m.cordonedFor(retiring|replaced):
+		case c.acceptsWork(now, m):
+			n.ready[m.machineType]++
+		default:
+			n.coming[m.machineType]++
+		}
+	}
+	return n
+}
+
+// missing is how many more machines of a type have to come.
+func (n *replacementCount) missing(machineType string) int {
+	return max(0, n.needed[machineType]-n.ready[machineType]-n.coming[machineType])
+}
+
+// complete reports whether every machine of the batch has a replacement that is ready.
+func (n *replacementCount) complete() bool {
+	for machineType, needed := range n.needed {
+		if n.ready[machineType] < needed {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitReplacements cordons the batch once its replacements are ready. If they don't come in
+// time the drain is paused.
+func (s *drainStep) awaitReplacements() {
+	n := s.countReplacements(s.now, s.record.Batch)
+	switch {
+	case n.complete():
+		s.cordonBatch()
+	case s.wall.Sub(time.UnixMilli(s.record.Batch.Since)) > tuning.ReplacementPatience:
+		if s.record.Pause(drain.Reason{Cause: drain.NoReplacement}) {
+			s.notePaused()
+		}
+	default:
+		s.wait(drain.WaitReplacement, "")
+	}
+}
+
+// cordonBatch lets the machines of the batch take no new work any more.
+func (s *drainStep) cordonBatch() {
+	s.record.Batch.Cordoned, s.record.Batch.Since = true, s.wall.UnixMilli()
+	for _, name := range s.record.Batch.Machines {
+		if m := s.machines[name]; m != nil {
+			m.cordon(drained)
+		}
+	}
+	s.storeDrain(s.record, nil)
+}
+
+// awaitingReplacements is the drain whose batch waits for replacements, nil if none does.
+func (c *Controller) awaitingReplacements() *storedDrain {
+	for _, d := range c.drains {
+		if d.durable && d.State == drain.Running && d.Batch != nil && !d.Batch.Cordoned {
+			return d
+		}
+	}
+	return nil
+}
+
+// replacementCalls are the rentals that the running drain's batch waits for.
+func (c *Controller) replacementCalls(now time.Time) []CloudCall {
+	d := c.awaitingReplacements()
+	if d == nil {
+		return nil
+	}
+	for _, r := range c.pendingRentals {
+		if r.replacementFor != "" {
+			return nil
+		}
+	}
+	n := c.countReplacements(now, d.Batch)
+	var calls []CloudCall
+	for _, machineType := range slices.Sorted(maps.Keys(n.needed)) {
+		missing := n.missing(machineType)
+		if most := c.operator.MaxMachines; most > 0 {
+			missing = min(missing, most-len(c.machines))
+		}
+		if o, ok := c.replacementOffer(now, d.Batch, machineType); ok && missing > 0 {
+			calls = append(calls, c.rent(now, o, missing, d.Spec.Name))
+		}
+	}
+	return calls
+}
+
+// replacementOffer is where to rent a replacement of a type: as the machine of the batch is,
+// or else in another zone, or else not as a spot machine.
+func (c *Controller) replacementOffer(now time.Time, b *drain.Batch, machineType string) (provision.Offer, bool) {
+	i := slices.IndexFunc(b.Machines, func(name string) bool {
+		return c.machines[name] != nil && c.machines[name].machineType == machineType
+	})
+	m := c.machines[b.Machines[i]]
+	zones := slices.Concat([]string{m.zone}, c.types[machineType].Zones)
+	for _, spot := range []bool{m.spot, false} {
+		for _, zone := range zones {
+			o := provision.Offer{Type: machineType, Zone: zone, Spot: spot}
+			if slices.Contains(c.types[machineType].Zones, zone) && c.offered(now, o) {
+				return o, true
+			}
+		}
+	}
+	return provision.Offer{}, false
+}
+
+// noteReplacements adds machines that were rented for a drain to its batch.
+func (c *Controller) noteReplacements(name string, machines []string) {
+	d := c.drains[name]
+	if d == nil || d.Batch == nil || len(machines) == 0 {
+		return
+	}
+	// Those that have gone meanwhile make room in the record.
+	d.Batch.Replacements = slices.DeleteFunc(d.Batch.Replacements, func(name string) bool { return c.machines[name] == nil })
+	d.Batch.Replacements = append(d.Batch.Replacements, machines...)
+	d.Counts.Replacements += len(machines)
+	c.storeDrain(d, nil)
+}
--- /dev/null
+++ b/internal/controller/drain_state.go
@@ -0,0 +1,219 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/drain"
+	"switchshore.example/switchshore/internal/provision"
+	"switchshore.example/switchshore/internal/tuning"
+)
+
+// Prefixes of the records of drains and of the charges for their evictions. Earlier versions
+// know neither, and leave them alone.
+const (
+	keyDrains  = "e/"
+	keyCharges = "b/"
+)
+
+// drainState is what the leader knows of drains and of the disruption of the teams' work. All
+// of it is empty while drains are off.
+type drainState struct {
+	budgets *drain.Budgets // nil: drains are off
+	ledger  *drain.Ledger
+	drains  map[string]*storedDrain
+	// unreadable are the names of stored drains that are damaged or of a later version.
+	unreadable   map[string]bool
+	chargesNamed uint64
+	// listsComplete: a machine list describes a time after this term began, so that a machine
+	// named by a record and not known is gone.
+	listsComplete bool
+	// isolated: this node seems to have lost most machines.
+	isolated      bool
+	nextDrainStep time.Time
+	nextBatchLook time.Time
+	// drainLooks counts the machines and attempts that drains have looked at.
+	drainLooks int
+}
+
+// storedDrain is a drain's record; durable once it has been stored for the first time.
+type storedDrain struct {
+	*drain.Record
+	durable bool
+}
+
+func newDrainState(budgets *drain.Budgets, w config.Workers) drainState {
+	s := drainState{budgets: budgets, drains: map[string]*storedDrain{}, unreadable: map[string]bool{}}
+	if budgets != nil {
+		// What is charged may come into effect later than what is charged after it.
+		s.ledger = drain.NewLedger(budgets.Window + seconds(w.LeaseS*tuning.DrainDelivery))
+	}
+	return s
+}
+
+// loadedCharge is a charge of an earlier leader.
+type loadedCharge struct {
+	key    string
+	charge *drain.Charge
+	at     time.Time
+}
+
+func (c *Controller) loadDrain(name string, value json.RawMessage) error {
+	if c.budgets == nil {
+		return nil
+	}
+	r, err := drain.DecodeRecord(name, value)
+	if err != nil {
+		c.unreadable[name] = true
+		return err
+	}
+	c.drains[name] = &storedDrain{r, true}
+	return nil
+}
+
+func (c *Controller) loadCharge(now, wall time.Time, id string, value json.RawMessage) error {
+	if c.budgets == nil {
+		return nil
+	}
+	charge, err := drain.DecodeCharge(value)
+	if err != nil {
+		return err
+	}
+	at := now.Add(-max(0, wall.Sub(time.UnixMilli(charge.At))))
+	c.loadedCharges = append(c.loadedCharges, loadedCharge{keyCharges + id, charge, at})
+	return nil
+}
+
+// applyLoadedDrains cordons what the loaded drains have cordoned, and counts what they have
+// been charged for, before the first placement.
+func (c *Controller) applyLoadedDrains() {
+	for _, l := range c.loadedCharges {
+		c.ledger.Charge(l.key, l.charge, l.at, c.teamOfAttempt)
+	}
+	c.loadedCharges = nil
+	for _, m := range c.machinesByName {
+		m.setCordon(drained, c.cordonedByDrain(m.id))
+	}
+}
+
+// teamOfAttempt is the team of a task that is still to run.
+func (c *Controller) teamOfAttempt(a drain.Attempt) (string, bool) {
+	j := c.jobs[a.Job]
+	if j == nil || a.Index < 0 || int(a.Index) >= j.Tasks || !j.wants(int(a.Index)) {
+		return "", false
+	}
+	return j.Team, true
+}
+
+// storeDrain queues the write of a drain's record and calls then when it is durable.
+func (c *Controller) storeDrain(d *storedDrain, then func()) {
+	c.interactiveWrites.put(keyDrains+d.Spec.Name, d.Encode(), func() {
+		d.durable = true
+		if then != nil {
+			then()
+		}
+	})
+}
+
+// storeCharge counts a charge and queues its write; then is called when it is durable.
+func (c *Controller) storeCharge(now time.Time, charge *drain.Charge, then func()) {
+	c.chargesNamed++
+	key := fmt.Sprintf("%s%08x-%08x", keyCharges, c.term, c.chargesNamed)
+	c.ledger.Charge(key, charge, now, c.teamOfAttempt)
+	c.interactiveWrites.put(key, charge.Encode(), then)
+}
+
+// records are those of all drains.
+func (c *Controller) records() []*drain.Record {
+	list := make([]*drain.Record, 0, len(c.drains))
+	for _, d := range c.drains {
+		list = append(list, d.Record)
+	}
+	return list
+}
+
+// cordonedByDrain reports whether a drain keeps a machine from taking new work.
+func (c *Controller) cordonedByDrain(machine string) bool {
+	return c.anyDrain(func(r *drain.Record) bool { return r.Cordons(machine) })
+}
+
+// closedByDrain reports whether a drain keeps machines of an offer from being rented.
+func (c *Controller) closedByDrain(o provision.Offer) bool {
+	return c.anyDrain(func(r *drain.Record) bool { return r.Closes(o.Type, o.Zone) })
+}
+
+// isReplacement reports whether a machine was rented in the place of those that are drained now.
+func (c *Controller) isReplacement(machine string) bool {
+	return c.anyDrain(func(r *drain.Record) bool { return r.State == drain.Running && r.Replaces(machine) })
+}
+
+func (c *Controller) anyDrain(holds func(*drain.Record) bool) bool {
+	for _, d := range c.drains {
+		if holds(d.Record) {
+			return true
+		}
+	}
+	return false
+}
+
+// countInterruption counts an attempt that is about to be dropped, if it may have run.
+func (c *Controller) countInterruption(now time.Time, a *attempt) {
+	j := a.job
+	if c.ledger == nil || !j.wants(int(a.index)) || j.holders[a.index] > 1 || a.failed {
+		return
+	}
+	switch {
+	case c.ledger.Charged(a.number), a.state == possiblyStarted:
+		c.ledger.Unknown(j.Team, j.ID, a.index)
+	case a.state.hasImage():
+		c.ledger.Interrupted(j.Team, j.ID, a.index, now, lostProgress(now, a))
+	}
+}
+
+// lostProgress is the run time in seconds that goes with an attempt that is gone.
+func lostProgress(now time.Time, a *attempt) float64 {
+	ran := now.Sub(a.runningAt).Seconds()
+	switch {
+	case a.saved:
+		return 0
+	case a.job.CheckpointS > 0:
+		return math.Mod(ran, a.job.CheckpointS)
+	}
+	return ran
+}
+
+// countRunning counts a task that was interrupted as running again, unless it is the very
+// attempt that a drain is about to stop.
+func (c *Controller) countRunning(a *attempt) {
+	if c.ledger == nil || a.evicting || c.ledger.Charged(a.number) && a.machine.cordonedFor(drained) {
+		return
+	}
+	c.ledger.Available(a.job.ID, a.index)
+}
+
+// countDone counts a task that was interrupted as done.
+func (c *Controller) countDone(j *job, index int32) {
+	if c.ledger != nil {
+		c.ledger.Available(j.ID, index)
+	}
+}
+
+// countOver counts no task of a job any more.
+func (c *Controller) countOver(j *job) {
+	if c.ledger != nil {
+		c.ledger.Over(j.ID)
+	}
+}
+
+// expireCharges deletes the charges that count no more.
+func (c *Controller) expireCharges(wall time.Time) {
+	keys := c.ledger.Expire(wall)
+	slices.Sort(keys)
+	for _, key := range keys {
+		c.backgroundWrites.del(key)
+	}
+}
--- /dev/null
+++ b/internal/controller/drain_step.go
@@ -0,0 +1,358 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"switchshore.example/switchshore/internal/drain"
+	"switchshore.example/switchshore/internal/sched"
+	"switchshore.example/switchshore/internal/tuning"
+)
+
+// drainStep is one step of the running drain.
+type drainStep struct {
+	*Controller
+	record    *storedDrain
+	now, wall time.Time
+	places    map[*job]bool // whether tasks of the job have another place
+}
+
+// AdvanceDrains takes the next step of the drain that runs; wall is the time of day. It needs
+// authority.
+func (c *Controller) AdvanceDrains(now, wall time.Time) {
+	if c.budgets == nil || now.Before(c.nextDrainStep) {
+		return
+	}
+	c.nextDrainStep = now.Add(tuning.DrainEvery)
+	c.expireCharges(wall)
+	r, changed := drain.Next(c.records())
+	if r == nil {
+		return
+	}
+	s := &drainStep{Controller: c, record: c.drains[r.Spec.Name], now: now, wall: wall, places: map[*job]bool{}}
+	if !s.record.durable {
+		return
+	}
+	if changed {
+		c.log.Info().Str("drain", r.Spec.Name).Msg("drain begins")
+		c.storeDrain(s.record, nil)
+	}
+	s.advance()
+}
+
+func (s *drainStep) advance() {
+	if s.record.Batch == nil {
+		s.beginBatch()
+		return
+	}
+	s.dropGone()
+	switch {
+	case s.record.Batch == nil:
+	case s.record.Batch.Cordoned:
+		s.evict()
+	default:
+		s.awaitReplacements()
+	}
+}
+
+// wait notes why there is no progress; past its deadline the drain is paused.
+func (s *drainStep) wait(cause drain.Cause, team string) {
+	if s.record.Wait(s.wall, drain.Reason{Cause: cause, Team: team}) && s.record.State == drain.Paused {
+		s.notePaused()
+	}
+}
+
+func (s *drainStep) notePaused() {
+	s.log.Info().Str("drain", s.record.Spec.Name).Stringer("reason", s.record.Reason).Msg("drain paused")
+	s.storeDrain(s.record, nil)
+}
+
+// heldBack is why no batch may begin now whatever machines there are, "" if one may.
+func (s *drainStep) heldBack() drain.Cause {
+	switch {
+	case !s.listsComplete || s.now.Before(s.inheritedUntil):
+		return drain.HeldNewLeader
+	case s.regulator != nil && s.regulator.Shedding():
+		return drain.HeldOverload
+	case s.isolated:
+		return drain.HeldPartition
+	}
+	for _, until := range s.partitionedZones {
+		if s.now.Before(until) {
+			return drain.HeldPartition
+		}
+	}
+	return ""
+}
+
+// beginBatch chooses the machines to be drained next, those with the fewest tasks first.
+func (s *drainStep) beginBatch() {
+	if cause := s.heldBack(); cause != "" {
+		s.wait(cause, "")
+		return
+	}
+	if s.now.Before(s.nextBatchLook) {
+		return
+	}
+	s.nextBatchLook = s.now.Add(tuning.DrainLook)
+	selected, leaving := s.selectedMachines()
+	if len(selected) == 0 {
+		s.finish(leaving)
+		return
+	}
+	slices.SortStableFunc(selected, func(a, b *machine) int { return cmp.Compare(len(a.attempts), len(b.attempts)) })
+	batch := selected[:min(s.record.Spec.BatchSize, len(selected))]
+	if team := s.unmetGuarantee(batch); team != "" {
+		s.wait(drain.HeldGuarantee, team)
+		return
+	}
+	s.record.Batch = &drain.Batch{Since: s.wall.UnixMilli(), Cordoned: !s.record.Spec.Replace}
+	for _, m := range batch {
+		s.record.Batch.Machines = append(s.record.Batch.Machines, m.id)
+		m.setCordon(drained, s.record.Batch.Cordoned)
+	}
+	s.record.Reason = drain.Reason{}
+	s.log.Info().Str("drain", s.record.Spec.Name).Strs("machines", s.record.Batch.Machines).Int("left", len(selected)).Msg("drain batch begins")
+	s.storeDrain(s.record, nil)
+}
+
+// finish ends a drain that finds no machine any more, once those that are being released are gone.
+func (s *drainStep) finish(leaving int) {
+	if leaving > 0 || s.rentingSelected() {
+		s.wait(drain.WaitMachines, "")
+		return
+	}
+	s.record.State, s.record.Reason = drain.Done, drain.Reason{}
+	s.log.Info().Str("drain", s.record.Spec.Name).Int("machines", s.record.Counts.Machines).Int("evicted", s.record.Counts.Evicted).Msg("drain done")
+	s.storeDrain(s.record, nil)
+}
+
+// rentingSelected reports whether a rental under way may bring machines that are selected.
+func (s *drainStep) rentingSelected() bool {
+	for _, r := range s.pendingRentals {
+		if s.record.Spec.Selector.Closes(r.offer.Type, r.offer.Zone) {
+			return true
+		}
+	}
+	return false
+}
+
+// selectedMachines are those to be drained that the cloud has listed, and how many of the
+// selected ones are being released or are not listed yet.
+func (s *drainStep) selectedMachines() (selected []*machine, leaving int) {
+	for _, m := range s.machinesByName {
+		s.drainLooks++
+		switch {
+		case !s.selects(m):
+		case m.releasing || m.listedAt.IsZero():
+			leaving++
+		default:
+			selected = append(selected, m)
+		}
+	}
+	return selected, leaving
+}
+
+// selects reports whether a machine is to be drained.
+func (s *drainStep) selects(m *machine) bool {
+	rented := s.wall.Add(m.rentedAt.Sub(s.now))
+	return s.record.Spec.Selector.Selects(drain.Machine{Name: m.id, Type: m.machineType, Zone: m.zone, RentedAt: rented})
+}
+
+// unmetGuarantee is a team with waiting work whose guarantee would not fit, together with those
+// of the other such teams, into what takes work without the given machines, "" if there is none.
+func (s *drainStep) unmetGuarantee(batch []*machine) string {
+	waiting := map[string]float64{}
+	for j := range s.live {
+		waiting[j.Team] += float64(len(j.ready)) * j.CPUs
+	}
+	room := 0.0
+	for _, m := range s.machinesByName {
+		s.drainLooks++
+		if s.acceptsWork(s.now, m) {
+			room += m.total.CPUs
+		}
+	}
+	if !s.record.Spec.Replace {
+		for _, m := range batch {
+			if s.acceptsWork(s.now, m) {
+				room -= m.total.CPUs
+			}
+		}
+	}
+	for _, t := range s.params.Teams {
+		if waiting[t.Name] == 0 {
+			continue
+		}
+		room -= min(t.CPUs, s.teams[t.Name].used.CPUs+waiting[t.Name])
+		if room < 0 {
+			return t.Name
+		}
+	}
+	return ""
+}
+
+// dropGone takes the machines that are provably gone out of the batch; without any left it
+// is over.
+func (s *drainStep) dropGone() {
+	left := slices.DeleteFunc(slices.Clone(s.record.Batch.Machines), s.gone)
+	went := len(s.record.Batch.Machines) - len(left)
+	if went == 0 {
+		return
+	}
+	s.record.Counts.Machines += went
+	s.record.Batch.Machines = left
+	if len(left) == 0 {
+		s.record.Batch = nil
+		s.record.Counts.Batches++
+		s.nextBatchLook = time.Time{}
+		s.log.Info().Str("drain", s.record.Spec.Name).Int("batches", s.record.Counts.Batches).Msg("drain batch over")
+	}
+	s.storeDrain(s.record, nil)
+}
+
+// gone reports whether a machine named by the record is provably gone: released with a 200, or
+// missing from a list that would have it.
+func (c *Controller) gone(name string) bool {
+	return c.machines[name] == nil && (c.released[name] || c.listsComplete)
+}
+
+// evict stops tasks of the batch within the budgets. The charge is durable before the first
+// stop goes out; stops that an earlier leader has been charged for go out at once.
+func (s *drainStep) evict() {
+	var candidates []drain.Candidate
+	attempts := map[uint64]*attempt{}
+	for _, name := range s.record.Batch.Machines {
+		m := s.machines[name]
+		if m == nil || !m.confirmed || m.listedAt.IsZero() {
+			continue
+		}
+		for _, a := range m.attempts {
+			s.drainLooks++
+			switch {
+			case a.state < fetching || a.stop || a.evicting || !a.wanted():
+			case s.ledger.Charged(a.number):
+				s.stopEvicted(a)
+			default:
+				candidates = append(candidates, s.candidate(a))
+				attempts[a.number] = a
+			}
+		}
+	}
+	charge := drain.NewCharge(s.record.Spec.Name, s.wall)
+	limit := int(float64(s.valueLimit()) * tuning.ValueShare)
+	reason := drain.Evictions(charge, candidates, s.ledger, s.budgets, s.record.Forced(s.wall), s.now, limit)
+	s.stopCharged(charge, attempts)
+	if reason.Cause == "" {
+		reason.Cause = drain.WaitMachines
+	}
+	s.wait(reason.Cause, reason.Team)
+}
+
+// stopCharged stores a charge, and stops its attempts once it is durable.
+func (s *drainStep) stopCharged(charge *drain.Charge, attempts map[uint64]*attempt) {
+	if len(charge.Attempts) == 0 {
+		return
+	}
+	var evicted []*attempt
+	for _, e := range charge.Attempts {
+		a := attempts[e.Number]
+		a.evicting = true
+		evicted = append(evicted, a)
+		s.record.Counts.Evicted++
+		if a.job.CheckpointS > 0 {
+			s.record.Counts.Moved++
+		}
+	}
+	c := s.Controller
+	c.storeCharge(s.now, charge, func() {
+		for _, a := range evicted {
+			if a.evicting && slices.Contains(a.machine.attempts, a) {
+				c.stopEvicted(a)
+			}
+		}
+	})
+	c.storeDrain(s.record, nil)
+	c.log.Info().Str("drain", s.record.Spec.Name).Int("tasks", len(evicted)).Msg("drain evicts")
+}
+
+// stopEvicted stops an attempt that has been charged for; it saves what it can.
+func (c *Controller) stopEvicted(a *attempt) {
+	a.evicting, a.stop, a.grace = true, true, 0
+	if a.job.CheckpointS > 0 {
+		a.grace = a.job.SaveS
+	}
+	c.scheduleCall(a.machine)
+}
+
+// candidate describes a running task to the choice of evictions.
+func (s *drainStep) candidate(a *attempt) drain.Candidate {
+	j := a.job
+	e := drain.Candidate{
+		Team: j.Team, Attempt: drain.Attempt{Job: j.ID, Index: a.index, Number: a.number},
+		Saves: j.CheckpointS > 0, NoPlace: !s.hasOtherPlace(j),
+	}
+	patience := tuning.DrainMovePatience
+	if !e.Saves {
+		patience = tuning.DrainPatience
+		e.LossS = s.lossAtMost(a)
+	}
+	patience -= s.wall.Sub(time.UnixMilli(s.record.Batch.Since))
+	e.Ends = patience > 0 && s.remaining(s.now, a) <= patience.Seconds()
+	return e
+}
+
+// lossAtMost is the run time in seconds that a task without checkpoints can lose at most when it
+// is stopped: until the stop comes into effect or its session ends, it goes on.
+func (s *drainStep) lossAtMost(a *attempt) float64 {
+	began := a.orderedAt
+	if a.number>>32 != s.term {
+		// Started under an earlier leader: not before its job came and its machine was rented.
+		began = a.job.submitted
+		if a.machine.rentedAt.After(began) {
+			began = a.machine.rentedAt
+		}
+	}
+	return (s.now.Sub(began) + s.leaseTime()).Seconds()
+}
+
+// hasOtherPlace reports whether a task of the job could run on machines that are not drained.
+func (s *drainStep) hasOtherPlace(j *job) bool {
+	if has, known := s.places[j]; known {
+		return has
+	}
+	probe := j.constraints()
+	if zone := s.record.Spec.Selector.Zone; j.OneZone && s.record.Spec.Selector.Closes("", zone) {
+		// All of its tasks leave the zone together.
+		probe.InZone = without(j.inZone, zone)
+	}
+	has := slices.ContainsFunc(s.openPlaces(), probe.Allowed)
+	s.places[j] = has
+	return has
+}
+
+// openPlaces are the kinds of machine that can be rented while the drain lasts.
+func (s *drainStep) openPlaces() []*sched.Machine {
+	var places []*sched.Machine
+	for _, t := range s.offers {
+		for _, zone := range t.Zones {
+			if s.anyDrain(func(r *drain.Record) bool { return r.Closes(t.Name, zone) }) {
+				continue
+			}
+			places = append(places, &sched.Machine{Type: t.Name, Zone: zone, Total: resources(t)})
+		}
+	}
+	return places
+}
+
+// without is a copy of counts by zone that leaves one out.
+func without(counts map[string]int, zone string) map[string]int {
+	left := map[string]int{}
+	for name, n := range counts {
+		if name != zone {
+			left[name] = n
+		}
+	}
+	return left
+}
--- a/internal/controller/failures.go
+++ b/internal/controller/failures.go
@@ -24,14 +24,14 @@
 	for id := range j.failedOn {
 		if o := c.machines[id]; o != nil {
 			delete(o.failedJobs, j.ID)
-			o.faulty = len(o.failedJobs) >= tuning.FaultyJobs
+			o.setCordon(faulty, len(o.failedJobs) >= tuning.FaultyJobs)
 		}
 	}
 }
 
 // recordTaskSuccess notes that a task of the job has ended on the machine.
 func (c *Controller) recordTaskSuccess(j *job, m *machine) {
-	if !m.faulty {
+	if !m.cordonedFor(faulty) {
 		clear(m.failedJobs)
 	}
 	for id := range j.failedOn {
@@ -44,9 +44,9 @@
 
 func (m *machine) countFailedJob(c *Controller, j *job) {
 	m.failedJobs[j.ID] = true
-	if len(m.failedJobs) >= tuning.FaultyJobs && !m.faulty {
+	if len(m.failedJobs) >= tuning.FaultyJobs && !m.cordonedFor(faulty) {
 		c.log.Info().Str("machine", m.id).Msg("faulty machine, draining")
-		m.faulty = true
+		m.cordon(faulty)
 	}
 }
 
--- a/internal/controller/leases.go
+++ b/internal/controller/leases.go
@@ -17,7 +17,7 @@
 
 // leaseOver reports whether all that the machine may have held is gone.
 func (c *Controller) leaseOver(now time.Time, m *machine) bool {
-	if m.replaced || !m.confirmed && now.Before(c.inheritedUntil) {
+	if m.cordonedFor(replaced) || !m.confirmed && now.Before(c.inheritedUntil) {
 		return false
 	}
 	return m.answeredAt.IsZero() || now.Sub(m.answeredAt) > c.leaseTime()
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -17,12 +17,13 @@
 // oldest first. Below "m/" earlier versions kept one record a machine. The
 // catalogue comes first: a successor that waited for the cloud's would refuse
 // submissions.
-var Prefixes = []string{keyTypes, "n/", "j/", "d/", "f/", "m/", "s/"}
+var Prefixes = []string{keyTypes, "n/", "j/", "d/", "f/", "m/", "s/", keyDrains, keyCharges}
 
 // loading is what is kept only while stored records are loaded.
 type loading struct {
-	loadedStarts []*pendingRecord  // a predecessor's start records
-	pieces       map[string][]byte // parts of job records, by key
+	loadedStarts  []*pendingRecord  // a predecessor's start records
+	pieces        map[string][]byte // parts of job records, by key
+	loadedCharges []loadedCharge
 }
 
 // Load takes in one stored record; wall and now relate the time of day in
@@ -36,9 +37,9 @@
 	if err == nil {
 		return nil
 	}
-	if kind == "c" || kind == "d" || kind == "n" {
+	if strings.Contains("cdneb", kind) {
 		// The cloud tells the catalogue again, tasks without a completion run
-		// again, and a piece may belong to no job: no reason to serve nobody.
+		// again, a piece may belong to no job, and drains can wait: no reason to serve nobody.
 		c.log.Error().Err(err).Str("key", item.Key).Msg("damaged record, left out")
 		return nil
 	}
@@ -71,6 +72,10 @@
 			return err
 		}
 		return c.loadStarts(now, "s/"+id, rec.Machines)
+	case "e":
+		return c.loadDrain(id, value)
+	case "b":
+		return c.loadCharge(now, wall, id, value)
 	}
 	return nil
 }
@@ -208,6 +213,7 @@
 		// All of them, before anyone is told anything.
 		c.processDependencyChanges(now)
 	}
+	c.applyLoadedDrains()
 	c.changed = true
 	c.log.Info().Int("jobs", len(c.jobs)).Int("ended", len(c.finals)).Int("machines", len(c.machines)).Msg("loaded")
 }
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -11,17 +11,46 @@
 	"switchshore.example/switchshore/wire"
 )
 
+// machine is a rented machine with all that may be on it.
 type machine struct {
 	id, machineType, zone, addr string
 	spot                        bool
 	total                       sched.Resources
-	rentedAt                    time.Time
-	up                          bool // has reported to some term
-	confirmed                   bool // has reported knowing this term: its list is complete
-	releasing                   bool
-	draining                    bool
-	faulty                      bool // several jobs failed there in a row
+	lifecycle
+	cordons
+	sessionState
+	answerDelivery
+	directState
+	room
 
+	attempts   []*attempt // in the order in which they came to be known
+	exited     []exit
+	images     map[string]time.Time
+	avoid      map[string]bool
+	failedJobs map[string]bool
+	// unforgettable names exited attempts whose start may still come late: forgetting
+	// them would let it run.
+	unforgettable map[exitKey]bool
+}
+
+// lifecycle is how far a machine has come between its rental and its release.
+type lifecycle struct {
+	rentedAt  time.Time
+	up        bool // has reported to some term
+	confirmed bool // has reported knowing this term: its list is complete
+	releasing bool
+	failed    bool
+	recorded  bool      // named by a start record that was loaded
+	missing   int       // lists in a row without the machine
+	listedAt  time.Time // first seen in the cloud's list in this term
+	idleFrom  time.Time
+	// fenceBy is when the machine has to be released, as a start of an ended
+	// job may still come late; zero for never.
+	fenceBy time.Time
+}
+
+// sessionState is what is known of the worker's session and of its reports.
+type sessionState struct {
 	session, sequence uint64
 	lastReport        uint64 // the newest of the session that the worker sent by itself
 	// lostSession is the last session known to be over; what is still heard
@@ -29,56 +58,49 @@
 	lostSession uint64
 	heardAt     time.Time // newest report taken in
 	answeredAt  time.Time // newest report answered 200
+	firstHeard  time.Time // in this term
 	noticeEnds  time.Time // zero: no notice
-	fullUntil   time.Time
-	// Until reservedUntil, room is kept from work below reservedLevel.
-	reservedUntil time.Time
-	reservedLevel int
+	// staleReports counts the reports older than the newest since that came,
+	// staleSince is when the first of them came.
+	staleReports int
+	staleSince   time.Time
+}
 
-	attempts   []*attempt // in the order in which they came to be known
-	exited     []exit
-	images     map[string]time.Time
-	avoid      map[string]bool
-	failedJobs map[string]bool
-	free       sched.Resources
-	idleFrom   time.Time
-	recorded   bool      // named by a start record that was loaded
-	missing    int       // lists in a row without the machine
-	listedAt   time.Time // first seen in the cloud's list in this term
-	failed     bool
-	// unforgettable names exited attempts whose start may still come late: forgetting
-	// them would let it run.
-	unforgettable map[exitKey]bool
-	// calling: a direct call is under way. callAfter pauses them after one
-	// that got no answer.
-	calling   bool
-	callAfter time.Time
+// answerDelivery is what shows whether our answers get to a machine that is heard.
+type answerDelivery struct {
 	// onTimeFrom is since when reports have come without a gap, sessionFrom
-	// since when in the present session. ignored counts the answers with
-	// starts in a row that had no effect, since unheededAt; deafAt is when the
-	// machine is known not to get our answers, zero while it does.
-	onTimeFrom     time.Time
-	sessionFrom    time.Time
+	// since when in the present session.
+	onTimeFrom  time.Time
+	sessionFrom time.Time
+	// ignoredAnswers counts the answers with starts in a row that had no effect, the last
+	// at ignoredAt; answersLostAt is when the machine is known not to get our
+	// answers, zero while it does.
 	ignoredAnswers int
 	ignoredAt      time.Time
 	answersLostAt  time.Time
-	// staleReports counts the reports older than the newest since that came,
-	// strangeFrom is when the first of them came.
-	staleReports int
-	staleSince   time.Time
-	firstHeard   time.Time // in this term
-	// replaced: a new worker has taken the place of the one known, and counts
-	// sessions anew. Only the release proves what it may hold gone.
-	replaced bool
-	// fenceBy is when the machine has to be released, as a start of an ended
-	// job may still come late; zero for never.
-	fenceBy time.Time
-	// snapshot is what the placement rule sees of the machine; stale, it is made
+}
+
+// directState is that of direct calls to the machine.
+type directState struct {
+	// calling: a direct call is under way. callAfter pauses them after one
+	// that got no answer.
+	calling   bool
+	callAfter time.Time
+	// queued: the machine is in the list of those to be called directly.
+	queued bool
+}
+
+// room is what is free on a machine, and for whom.
+type room struct {
+	free      sched.Resources
+	fullUntil time.Time
+	// Until reservedUntil, room is kept from work below reservedLevel.
+	reservedUntil time.Time
+	reservedLevel int
+	// snapshot is what the placement rule sees of the machine; outdated, it is made
 	// anew.
 	snapshot     *sched.Machine
 	viewOutdated bool
-	// queued: the machine is in the list of those to be called directly.
-	queued bool
 }
 
 type exitKey struct {
@@ -131,6 +153,9 @@
 	orderedAt time.Time
 	runningAt time.Time
 	saved     bool // it saved its progress when it was stopped
+	failed    bool // it ended by an error of its own
+	// evicting: a drain is about to stop it, once the charge for that is durable.
+	evicting bool
 }
 
 // wanted reports whether the attempt is still to run.
@@ -150,13 +175,14 @@
 func (c *Controller) addMachine(now time.Time, id, typ, zone, addr string, spot bool) *machine {
 	m := &machine{
 		id: id, machineType: typ, zone: zone, addr: addr, spot: spot,
-		rentedAt: now, idleFrom: now, viewOutdated: true,
+		lifecycle: lifecycle{rentedAt: now, idleFrom: now}, room: room{viewOutdated: true},
 		images:        map[string]time.Time{},
 		avoid:         map[string]bool{},
 		failedJobs:    map[string]bool{},
 		unforgettable: map[exitKey]bool{},
 	}
 	c.machines[id] = m
+	m.setCordon(drained, c.cordonedByDrain(id))
 	i := sort.Search(len(c.machinesByName), func(i int) bool { return c.machinesByName[i].id >= id })
 	c.machinesByName = slices.Insert(c.machinesByName, i, m)
 	c.setCapacity(m)
@@ -232,6 +258,7 @@
 		return
 	}
 	j.recordProgress(now, a)
+	c.countInterruption(now, a)
 	m.attempts = slices.Delete(m.attempts, i, i+1)
 	m.viewOutdated = true
 	m.free = m.free.Add(j.need, 1)
@@ -259,12 +286,8 @@
 	m.exited = nil
 }
 
-// retiring reports whether a machine takes no more work because it is to go: it is
-// drained, faulty, or about to be taken by the cloud.
-func (m *machine) retiring() bool { return m.draining || m.faulty || !m.noticeEnds.IsZero() }
-
 // acceptsWork reports whether a machine takes new tasks.
 func (c *Controller) acceptsWork(now time.Time, m *machine) bool {
-	return m.up && m.confirmed && !m.replaced && !m.releasing && !m.retiring() &&
-		m.total.CPUs > 0 && !now.Before(m.fullUntil) && !m.losesAnswers() && !c.isSilent(now, m)
+	return m.up && m.confirmed && !m.releasing && !m.cordoned() &&
+		m.total.CPUs > 0 && !now.Before(m.fullUntil) && !c.isSilent(now, m)
 }
--- a/internal/controller/reachability.go
+++ b/internal/controller/reachability.go
@@ -85,7 +85,7 @@
 func (c *Controller) shouldRelease(now time.Time, m *machine) bool {
 	boot := c.types[m.machineType].BootS
 	switch {
-	case m.failed, m.replaced, !m.fenceBy.IsZero() && now.After(m.fenceBy):
+	case m.failed, m.cordonedFor(replaced), !m.fenceBy.IsZero() && now.After(m.fenceBy):
 		return true
 	case !m.up:
 		return boot > 0 && now.Sub(m.rentedAt).Seconds() > boot*tuning.BootPatience
@@ -103,7 +103,7 @@
 		// began anew. It must not be taken for the old one, and can't be told
 		// from copies, so the machine is replaced.
 		return true
-	case len(m.attempts) == 0 && m.retiring():
+	case len(m.attempts) == 0 && m.cordonedFor(retiring):
 		return true
 	}
 	heard := m.heardAt
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -43,6 +43,8 @@
 	offer provision.Offer
 	count int
 	at    time.Time
+	// replacementFor is the drain that the machines are replacements for, if any.
+	replacementFor string
 }
 
 // price is what the machine costs now.
@@ -76,13 +78,14 @@
 	}
 	c.nextPlan = now.Add(tuning.PlanEvery)
 	isolated := c.updateReachability(now)
+	c.isolated = isolated
 	in := c.planInput(now)
 	if now.Sub(c.started) < seconds(c.params.Cloud.ListLagS) && c.term > 1 {
 		// Machines that a predecessor rented last are not listed yet.
 		in.Demand = nil
 	}
 	plan := provision.Make(in)
-	calls := c.rentalCalls(now, plan.Rent)
+	calls := append(c.rentalCalls(now, plan.Rent), c.replacementCalls(now)...)
 	if c.releasesInFlight > 0 {
 		// The next releases take all that has come together meanwhile: the
 		// budget of calls is better spent on rentals.
@@ -99,17 +102,22 @@
 		if len(c.pendingRentals) >= most {
 			break
 		}
-		c.rentals++
-		r := wire.RentRequest{
-			Request: fmt.Sprintf("r-%d-%d", c.term, c.rentals),
-			Type:    o.Type, Zone: o.Zone, Spot: o.Spot, Count: min(wanted[o], tuning.MaxRent),
-		}
-		c.pendingRentals[r.Request] = &rental{offer: o, count: r.Count, at: now}
-		calls = append(calls, CloudCall{Op: CloudRent, Rent: r})
+		calls = append(calls, c.rent(now, o, wanted[o], ""))
 	}
 	return calls
 }
 
+// rent is the call for machines of an offer; replacementFor is the drain that they are for, or "".
+func (c *Controller) rent(now time.Time, o provision.Offer, count int, replacementFor string) CloudCall {
+	c.rentals++
+	r := wire.RentRequest{
+		Request: fmt.Sprintf("r-%d-%d", c.term, c.rentals),
+		Type:    o.Type, Zone: o.Zone, Spot: o.Spot, Count: min(count, tuning.MaxRent),
+	}
+	c.pendingRentals[r.Request] = &rental{offer: o, count: r.Count, at: now, replacementFor: replacementFor}
+	return CloudCall{Op: CloudRent, Rent: r}
+}
+
 // compareOffers orders spot offers first, then by type and zone.
 func compareOffers(a, b provision.Offer) int {
 	if a.Spot != b.Spot {
@@ -164,9 +172,7 @@
 		Types:       c.offers,
 		KeepIdle:    tuning.IdleKeep,
 		MaxMachines: c.operator.MaxMachines,
-		Refused: func(o provision.Offer) bool {
-			return now.Before(c.refused[o]) || now.Before(c.partitionedZones[o.Zone])
-		},
+		Refused:     func(o provision.Offer) bool { return !c.offered(now, o) },
 	}
 	if c.operator.KeepIdleS > 0 {
 		in.KeepIdle = seconds(c.operator.KeepIdleS)
@@ -178,6 +184,11 @@
 	return in
 }
 
+// offered reports whether machines of an offer may be rented now.
+func (c *Controller) offered(now time.Time, o provision.Offer) bool {
+	return !now.Before(c.refused[o]) && !now.Before(c.partitionedZones[o.Zone]) && !c.closedByDrain(o)
+}
+
 // busyCPUs are those of all tasks that may be on machines which are not being released.
 func (c *Controller) busyCPUs() float64 {
 	busy := 0.0
@@ -202,8 +213,8 @@
 		p := provision.Machine{
 			ID: m.id, Offer: provision.Offer{Type: m.machineType, Zone: m.zone, Spot: m.spot},
 			Total: m.total, Free: m.free, Price: c.price(m),
-			Open:    !m.retiring() && !m.replaced && !m.losesAnswers() && !(m.up && c.isSilent(now, m)),
-			Idle:    len(m.attempts) == 0 && m.up && m.confirmed && now.Sub(m.rentedAt) >= tuning.MinimumBill,
+			Open:    !m.cordoned() && !(m.up && c.isSilent(now, m)),
+			Idle:    len(m.attempts) == 0 && m.up && m.confirmed && now.Sub(m.rentedAt) >= tuning.MinimumBill && !c.isReplacement(m.id),
 			IdleFor: now.Sub(m.idleFrom),
 		}
 		if !m.up {
@@ -274,6 +285,7 @@
 		m := c.addMachine(now, id, r.Type, r.Zone, "", r.Spot)
 		m.rentedAt = rent.at
 	}
+	c.noteReplacements(rent.replacementFor, names)
 	if len(names) < r.Count {
 		c.refused[rent.offer] = now.Add(tuning.RefusalPause)
 	}
@@ -304,6 +316,8 @@
 // Listed takes in a complete machine list, asked for at the given time.
 func (c *Controller) Listed(asked, now time.Time, list []wire.ListedMachine) {
 	c.listsApplied++
+	lag := seconds(c.params.Cloud.ListLagS * (1 + tuning.ClockDrift) * 2)
+	c.listsComplete = c.listsComplete || asked.Sub(c.started) > lag
 	listed := make(map[string]bool, len(list))
 	for _, row := range list {
 		listed[row.Name] = true
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -80,6 +80,7 @@
 	}
 	if m.noticeEnds.IsZero() && r.NoticeS != nil {
 		m.noticeEnds = now.Add(seconds(*r.NoticeS))
+		m.cordon(recalled)
 		c.log.Debug().Str("machine", m.id).Float64("notice", *r.NoticeS).Msg("spot notice")
 	}
 }
@@ -128,7 +129,7 @@
 	if r.Session > m.session {
 		clear(m.unforgettable)
 		m.lastReport = 0
-		if !m.draining {
+		if !m.cordonedFor(consolidated | awaitsLateStart) {
 			m.fenceBy = time.Time{}
 		}
 		for _, a := range m.attempts {
--- a/internal/controller/tasklist.go
+++ b/internal/controller/tasklist.go
@@ -58,7 +58,7 @@
 	case a != nil && (a.number == t.Attempt || a.state == possiblyStarted):
 		a.listNumber = c.listNumber
 		if a.state == startSent {
-			m.ignoredAnswers = 0
+			m.heeded()
 		}
 		if a.direct {
 			m.unforgettable[exitKey{t.Task, t.Attempt}] = true
@@ -90,7 +90,7 @@
 		a.stop, a.grace = true, 0
 	}
 	if a.state == startSent {
-		m.ignoredAnswers = 0 // it was told
+		m.heeded()
 	}
 	c.setReportedState(now, a, t.State)
 }
@@ -114,6 +114,7 @@
 		a.runningAt = now
 		m.images[j.Image] = now
 		c.changed = true
+		c.countRunning(a)
 	}
 }
 
@@ -124,6 +125,7 @@
 	}) {
 		m.ignoredAnswers++
 		m.ignoredAt = now
+		m.judgeDelivery()
 	}
 }
 
@@ -155,7 +157,7 @@
 	if a.wanted() || !m.fenceBy.IsZero() {
 		return
 	}
-	m.draining = true
+	m.cordon(awaitsLateStart)
 	from := a.job.endedAt
 	if from.IsZero() {
 		from = now // only the task is done
@@ -178,6 +180,7 @@
 		c.taskDone(now, j, a.index)
 	case wire.WhyError:
 		c.log.Debug().Str("machine", m.id).Str("task", t.Task).Msg("task failed")
+		a.failed = true
 		c.backOffAfterFailure(now, j)
 		c.recordTaskFailure(j, m)
 	case wire.WhyNoRoom, wire.WhyBusy:
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -148,6 +148,7 @@
 	var d decisions
 	p.Tick(now, authority)
 	if authority {
+		p.AdvanceDrains(now, time.Now())
 		d.cloud = p.Plan(now)
 		d.direct = p.Direct(now)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"switchshore.example/switchshore/internal/cloud"
 	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/controller"
+	"switchshore.example/switchshore/internal/drain"
 	"switchshore.example/switchshore/internal/election"
 	"switchshore.example/switchshore/internal/httpc"
 	"switchshore.example/switchshore/internal/peer"
@@ -162,7 +163,7 @@
 func (n *Node) forward(ctx context.Context, c peer.Call) peer.Answer {
 	wait := tuning.QueryWait
 	switch c.Op {
-	case peer.OpSubmit, peer.OpCancel:
+	case peer.OpSubmit, peer.OpCancel, peer.OpDrain:
 		wait = tuning.SubmitWait
 	case peer.OpReport:
 		wait = tuning.ReportWait
@@ -200,8 +201,8 @@
 		n.mu.Unlock()
 		return peer.Answer{}, false
 	}
-	result := make(chan controller.Verdict, 1)
-	then := func(v controller.Verdict) { result <- v }
+	result := make(chan peer.Answer, 1)
+	then := func(v controller.Verdict) { result <- verdictAnswer(c, v) }
 	switch c.Op {
 	case peer.OpQuery:
 		then(p.Query(c.Job))
@@ -209,19 +210,23 @@
 		p.Cancel(now, c.Job, then)
 	case peer.OpSubmit:
 		p.SubmitClaimed(now, time.Now(), c.Submission(), c.Admission, then)
+	case peer.OpDrain:
+		p.DrainRequest(now, time.Now(), c.Drain, func(r drain.Response) {
+			result <- peer.Answer{Status: r.Status, Why: r.Why, Drains: r.Drains}
+		})
 	}
 	n.mu.Unlock()
 	n.wake(n.write)
 	timer := time.NewTimer(tuning.SubmitWait)
 	defer timer.Stop()
 	select {
-	case v := <-result:
-		if !v.Final() && !l.Authority(time.Now()) {
+	case a := <-result:
+		if !a.Final() && !l.Authority(time.Now()) {
 			// The process may have stood still since, and a successor have told
 			// the user something newer.
 			return peer.Refusal(http.StatusServiceUnavailable, "no longer the leader"), true
 		}
-		return verdictAnswer(c, v), true
+		return a, true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,50 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"switchshore.example/switchshore/internal/tuning"
+)
+
+// Ask sends one call to a node from outside the cluster, such as an operator's command, and
+// waits for the answer until the context ends.
+func Ask(ctx context.Context, addr string, c Call) (Answer, error) {
+	dialer := net.Dialer{Timeout: tuning.PeerDialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	out := newLineWriter(conn)
+	go out.run(ctx)
+	c.ID = 1
+	if err := out.write(&line{Call: &c}); err != nil {
+		return Answer{}, err
+	}
+	var answer *Answer
+	err = readLinesWithin(conn, tuning.OperatorWait, func(m *line) bool {
+		if m.Answer != nil && m.Answer.ID == c.ID {
+			answer = m.Answer
+		}
+		return answer == nil
+	})
+	if answer == nil {
+		return Answer{}, fmt.Errorf("no answer from %s: %w", addr, orClosed(err))
+	}
+	return *answer, nil
+}
+
+// orClosed is the error, or one that says that the connection has ended.
+func orClosed(err error) error {
+	if err == nil {
+		return net.ErrClosed
+	}
+	return err
+}
--- a/internal/peer/lines.go
+++ b/internal/peer/lines.go
@@ -82,23 +82,37 @@
 }
 
 // patientConn is a connection whose reads fail when nothing comes for a while.
-type patientConn struct{ net.Conn }
+type patientConn struct {
+	net.Conn
+	patience time.Duration
+}
 
 func (c patientConn) Read(b []byte) (int, error) {
-	_ = c.SetReadDeadline(time.Now().Add(tuning.PeerSilence))
+	_ = c.SetReadDeadline(time.Now().Add(c.patience))
 	return c.Conn.Read(b)
 }
 
 // readLines calls f for every line until the connection ends or falls silent.
 func readLines(conn net.Conn, f func(*line)) error {
-	s := bufio.NewScanner(patientConn{conn})
+	return readLinesWithin(conn, tuning.PeerSilence, func(m *line) bool {
+		f(m)
+		return true
+	})
+}
+
+// readLinesWithin calls f for every line until it returns false, the connection ends, or nothing
+// comes for a time.
+func readLinesWithin(conn net.Conn, patience time.Duration, f func(*line) bool) error {
+	s := bufio.NewScanner(patientConn{conn, patience})
 	s.Buffer(make([]byte, 0, tuning.PeerBuffer), tuning.PeerLine)
 	for s.Scan() {
 		var m line
 		if err := json.Unmarshal(s.Bytes(), &m); err != nil {
 			return err
 		}
-		f(&m)
+		if !f(&m) {
+			return nil
+		}
 	}
 	return s.Err()
 }
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"switchshore.example/switchshore/internal/admission"
+	"switchshore.example/switchshore/internal/drain"
 	"switchshore.example/switchshore/wire"
 )
 
@@ -11,6 +12,7 @@
 	OpQuery  = "query"
 	OpCancel = "cancel"
 	OpReport = "report"
+	OpDrain  = "drain"
 )
 
 // Call is a request on its way to the leader.
@@ -28,6 +30,8 @@
 	Hops int `json:"hops,omitempty"`
 	// Admission is what the node that the user has reached says of a submission.
 	Admission *admission.Claim `json:"admission,omitempty"`
+	// Drain is an operator's request about drains of machines.
+	Drain *drain.Request `json:"drain,omitempty"`
 }
 
 // Submit returns the call for a submission.
@@ -57,6 +61,8 @@
 		return c.Submission() != nil
 	case OpReport:
 		return c.Report != nil
+	case OpDrain:
+		return c.Drain != nil
 	}
 	return true
 }
@@ -71,6 +77,8 @@
 	Why    string             `json:"why,omitempty"`
 	// RetryAfter is when the user should come back, in seconds; 0 for the usual time.
 	RetryAfter int `json:"retryAfter,omitempty"`
+	// Drains are those that an operator asked about.
+	Drains []drain.Status `json:"drains,omitempty"`
 }
 
 // Final reports whether the answer stays true for good, whoever leads.
--- /dev/null
+++ b/internal/simtest/drain_test.go
@@ -0,0 +1,204 @@
+package simtest_test
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/drain"
+	"switchshore.example/switchshore/internal/simtest"
+	"switchshore.example/switchshore/wire"
+)
+
+// drainParams are those of a cluster with room for work outside the drained zone.
+func drainParams() config.Params {
+	p := params()
+	p.Teams = []config.Team{{Name: "blue", CPUs: 16, CPUsMax: 40}, {Name: "green", CPUs: 8, CPUsMax: 24}}
+	return p
+}
+
+// drainBudgets are small enough to be what holds a drain up.
+func drainBudgets() *drain.Budgets {
+	return &drain.Budgets{
+		Window: time.Minute, Default: drain.Budget{MaxUnavailable: 3, Evictions: 8, LostS: 400},
+		Teams: map[string]drain.Budget{"green": {MaxUnavailable: 2, Evictions: 4, LostS: 250}},
+	}
+}
+
+// maintenance drains zone a, two machines at a time.
+func maintenance() *drain.Spec {
+	return &drain.Spec{Name: "maintenance", Selector: drain.Selector{Zone: "a"}, BatchSize: 2}
+}
+
+func withReplacement() *drain.Spec {
+	s := maintenance()
+	s.Replace = true
+	return s
+}
+
+// movableWork makes jobs of one priority that may run in any zone, half of which save nothing.
+func movableWork(rng *rand.Rand, j *wire.Job) {
+	j.Priority, j.Zone, j.OneZone, j.Spread = wire.PriorityNormal, "", false, false
+	j.Tasks, j.CPUs, j.EstimateS = 2+rng.IntN(5), float64(1+rng.IntN(2)), 30+60*rng.Float64()
+}
+
+// crashSometimes ends the leader with a chance, a few times at most.
+func crashSometimes(w *simtest.World, seed uint64, down time.Duration) func() {
+	rng := rand.New(rand.NewPCG(seed, 11))
+	left := 4
+	return func() {
+		if left > 0 && rng.IntN(2) == 0 {
+			left--
+			w.Soon(func() { w.CrashLeader(down) })
+		}
+	}
+}
+
+func apply(s *drain.Spec) *drain.Request {
+	return &drain.Request{Action: drain.Apply, Name: s.Name, Spec: s}
+}
+
+func ask(action drain.Action) *drain.Request {
+	return &drain.Request{Action: action, Name: "maintenance"}
+}
+
+type drainScenario struct {
+	name string
+	spec func() *drain.Spec
+	// jobsOver is the time over which jobs are submitted.
+	jobsOver time.Duration
+	inject   func(w *simtest.World, seed uint64)
+	observed []simtest.Observation
+}
+
+// drainBegins is when the scenarios' drains are applied.
+const drainBegins = 50 * second
+
+var drainScenarios = []drainScenario{
+	{"tasks half done", maintenance, 120 * second, func(*simtest.World, uint64) {}, []simtest.Observation{simtest.DrainMove}},
+	{"replaced", withReplacement, 200 * second, func(*simtest.World, uint64) {}, nil},
+	{"the leader ends between charge and stop", maintenance, 120 * second, func(w *simtest.World, seed uint64) {
+		w.OnCharge = crashSometimes(w, seed, second)
+	}, []simtest.Observation{simtest.SecondTerm}},
+	{"the leader ends between stop and report", maintenance, 120 * second, func(w *simtest.World, seed uint64) {
+		w.OnEviction = crashSometimes(w, seed, 300*time.Millisecond)
+	}, []simtest.Observation{simtest.SecondTerm}},
+	{"the leader ends between release and answer", withReplacement, 200 * second, func(w *simtest.World, seed uint64) {
+		w.OnRelease = crashSometimes(w, seed, second)
+	}, []simtest.Observation{simtest.SecondTerm}},
+	{"two successions within a batch, the old leader in its grace", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
+		w.At(75*second, func() { w.Inject(simtest.LeaderIsolated, 25*second) })
+		w.At(82*second, func() { w.CrashLeader(second) })
+	}, []simtest.Observation{simtest.SecondTerm}},
+	{"all controllers away for longer than a lease", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
+		w.At(80*second, func() { w.CrashAll(25 * second) })
+	}, []simtest.Observation{simtest.SecondTerm}},
+	{"the state service is down in a batch, and refuses the leader alone", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
+		w.At(70*second, func() { w.Inject(simtest.StateOutage, 30*second) })
+		w.At(130*second, func() { w.Inject(simtest.LeaderRefused, 20*second) })
+	}, nil},
+	{"answers to writes lost, and writes late", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
+		w.At(50*second, func() { w.Inject(simtest.AnswersToWritesLost, 60*second) })
+		w.At(110*second, func() { w.Inject(simtest.WritesLate, 60*second) })
+	}, []simtest.Observation{simtest.WriteAnswerLost, simtest.LateTransaction}},
+	{"the drained zone is partitioned, machines deaf or hanging", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
+		w.At(70*second, func() { w.DropAnswersToHolders(0.3, 40*second) })
+		w.At(90*second, func() { w.Inject(simtest.ZonePartitioned, 30*second) })
+		w.At(130*second, func() {
+			w.InjectFaults(simtest.MachineHangs, simtest.MachinePartitioned, simtest.ReportsDuplicatedLate)
+		})
+	}, []simtest.Observation{simtest.HolderAnswersLost}},
+	{"replacements late, never up or recalled", withReplacement, 200 * second, func(w *simtest.World, _ uint64) {
+		w.At(50*second, func() { w.BootTrouble(100 * second) })
+		w.At(90*second, func() { w.Inject(simtest.SpotReclaimed, 0) })
+		w.At(120*second, func() { w.Inject(simtest.SpotReclaimed, 0) })
+	}, nil},
+	{"jobs cancelled while their machines are drained", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
+		for i := range 8 {
+			w.At(time.Duration(60+10*i)*second, func() { w.CancelRunning(2, 0) })
+		}
+		w.At(85*second, func() { w.CrashLeader(second) })
+	}, []simtest.Observation{simtest.CancelledWhileRunning, simtest.SecondTerm}},
+	{"a node with drains off leads in between", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
+		w.DrainsOff(1)
+		w.At(80*second, func() { w.CrashLeader(5 * second) })
+		w.At(120*second, func() { w.CrashLeader(5 * second) })
+	}, []simtest.Observation{simtest.SecondTerm}},
+	{"the previous version leads in between", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
+		w.VersionFlipRate = 0.6
+		for i := range 5 {
+			w.At(time.Duration(65+25*i)*second, func() { w.CrashLeader(3 * second) })
+		}
+	}, []simtest.Observation{simtest.SecondTerm}},
+	{"anything", maintenance, 120 * second, func(w *simtest.World, _ uint64) { w.InjectFaults() }, nil},
+	{"anything, replaced", withReplacement, 200 * second, func(w *simtest.World, _ uint64) { w.InjectFaults() }, nil},
+}
+
+// playDrain plays a day on which a zone is drained.
+func playDrain(t *testing.T, s drainScenario, seed uint64) *simtest.World {
+	t.Helper()
+	w := simtest.NewWorld(3000+seed, 3, drainParams(), machineType)
+	w.Cloud.Capacity = 8
+	w.FaultRate = 1
+	w.WatchDrains(drainBudgets())
+	submitRandomJobs(w, seed, 30, s.jobsOver, 0.1, movableWork)
+	w.RequestDrain(drainBegins, apply(s.spec()), nil)
+	s.inject(w, seed)
+	return runToEnd(t, w)
+}
+
+// TestDrainWithFaults: whatever fails on the way, no rule is broken, no team's budget is exceeded,
+// and the drain ends with the zone empty.
+func TestDrainWithFaults(t *testing.T) {
+	for _, s := range drainScenarios {
+		t.Run(s.name, func(t *testing.T) {
+			eachSeed(t, 3, func(t *testing.T, seed uint64) {
+				w := playDrain(t, s, seed)
+				checkObserved(t, w, append([]simtest.Observation{simtest.DrainCharge, simtest.DrainEviction}, s.observed...))
+				r := w.DrainRecord("maintenance")
+				if r == nil || r.State != drain.Done || w.MachinesInZone("a") > 0 {
+					t.Errorf("not drained: %+v, %d machines left", r, w.MachinesInZone("a"))
+				}
+			})
+		})
+	}
+}
+
+// TestDrainCancelled: a drain that is paused, resumed and cancelled midway, with the leader ending
+// in between, leaves nothing cordoned: its zone is used again.
+func TestDrainCancelled(t *testing.T) {
+	eachSeed(t, 3, func(t *testing.T, seed uint64) {
+		w := simtest.NewWorld(3100+seed, 3, drainParams(), machineType)
+		w.FaultRate = 1
+		w.WatchDrains(drainBudgets())
+		submitRandomJobs(w, seed, 40, 200*second, 0, movableWork)
+		var statuses []int
+		note := func(r drain.Response) { statuses = append(statuses, r.Status) }
+		w.RequestDrain(drainBegins, apply(maintenance()), note)
+		w.RequestDrain(70*second, ask(drain.Pause), note)
+		w.At(72*second, func() { w.CrashLeader(second) })
+		w.RequestDrain(90*second, ask(drain.Resume), note)
+		w.RequestDrain(110*second, ask(drain.Cancel), note)
+		w.At(111*second, func() { w.CrashLeader(second) })
+		later := maintenance()
+		later.Name, later.BatchSize = "later", 1
+		later.Selector = drain.Selector{Zone: "b"}
+		w.RequestDrain(60*second, apply(later), note)
+		runToEnd(t, w)
+		checkObserved(t, w, []simtest.Observation{simtest.DrainPaused, simtest.SecondTerm})
+		r, second := w.DrainRecord("maintenance"), w.DrainRecord("later")
+		if r == nil || r.State != drain.Cancelled || second == nil || second.State != drain.Done {
+			t.Errorf("%+v, then %+v", r, second)
+		}
+		if len(statuses) != 5 {
+			t.Errorf("answered: %v", statuses)
+		}
+		for _, status := range statuses {
+			if status != http.StatusOK && status != http.StatusCreated {
+				t.Errorf("answered: %v", statuses)
+			}
+		}
+	})
+}
--- a/internal/simtest/faults.go
+++ b/internal/simtest/faults.go
@@ -67,6 +67,9 @@
 // At does something at a time of the day.
 func (w *World) At(d time.Duration, do func()) { w.after(w.start.Add(d).Sub(w.now), do) }
 
+// Soon does something right after what happens now.
+func (w *World) Soon(do func()) { w.after(0, do) }
+
 // leaders does something to every node that leads, or still thinks so.
 func (w *World) leaders(do func(*node)) {
 	for _, n := range w.nodes {
--- a/internal/simtest/observations.go
+++ b/internal/simtest/observations.go
@@ -39,6 +39,12 @@
 	// ShedByFollower and ShedByLeader: a submission was turned away under overload.
 	ShedByFollower Observation = "shed by a follower"
 	ShedByLeader   Observation = "shed by the leader"
+	// DrainCharge: a charge for evictions was stored; DrainEviction: a worker stopped a task of a
+	// drained machine; DrainMove: one that saved its progress; DrainPaused: a drain stood still.
+	DrainCharge   Observation = "charge of a drain"
+	DrainEviction Observation = "eviction by a drain"
+	DrainMove     Observation = "move by a drain"
+	DrainPaused   Observation = "drain paused"
 	// CancellationConfirmed: a user was told that a job is cancelled.
 	CancellationConfirmed Observation = "cancellation confirmed"
 )
--- a/internal/simtest/previous_version.go
+++ b/internal/simtest/previous_version.go
@@ -64,7 +64,7 @@
 func PreviousVersionWrites(writes []wire.Write) []wire.Write {
 	return slices.DeleteFunc(slices.Clone(writes), func(w wire.Write) bool {
 		key := w.Key()
-		return strings.HasPrefix(key, "n/") || strings.HasPrefix(key, "d/") && !previousVersionDoneKey.MatchString(key)
+		return strings.HasPrefix(key, "n/") || strings.HasPrefix(key, "e/") || strings.HasPrefix(key, "b/") || strings.HasPrefix(key, "d/") && !previousVersionDoneKey.MatchString(key)
 	})
 }
 
--- a/internal/simtest/rules.go
+++ b/internal/simtest/rules.go
@@ -315,6 +315,14 @@
 // CancelRequested reports whether a job's user has asked for its cancellation.
 func (r *Rules) CancelRequested(id string) bool { return r.jobs[id].askedCancel }
 
+// TaskOver reports whether a task is not to run any more: it has completed, or its job was called
+// off or is done.
+func (r *Rules) TaskOver(task string) bool {
+	id, _, _ := wire.SplitTask(task)
+	t := r.jobs[id]
+	return t == nil || t.askedCancel || t.done || t.finished[task]
+}
+
 // KnownDone reports whether a job's user was told that it is done.
 func (r *Rules) KnownDone(id string) bool { return r.jobs[id].done }
 
--- a/internal/simtest/state.go
+++ b/internal/simtest/state.go
@@ -28,7 +28,10 @@
 type State struct {
 	Down bool
 	// Limits hold for values and transactions, if set.
-	Limits   config.State
+	Limits config.State
+	// Committed, if set, is told of every transaction that was carried out.
+	Committed func(wire.Txn)
+
 	keys     map[string]*entry
 	leases   map[uint64]*lease
 	revision uint64
@@ -125,6 +128,9 @@
 		s.keys[w.Put] = &entry{wire.Item{Key: w.Put, Value: w.Value, Version: s.revision}, w.Lease}
 	}
 	res.Revision = s.revision
+	if s.Committed != nil {
+		s.Committed(txn)
+	}
 	return res, nil
 }
 
--- a/internal/simtest/worker.go
+++ b/internal/simtest/worker.go
@@ -18,6 +18,7 @@
 	Why     string
 	Saved   bool
 	At      time.Time // when the present state ends
+	Began   time.Time // when it began to run
 }
 
 // On reports whether the task is on its machine in the sense of the rules.
@@ -33,7 +34,9 @@
 	Faulty  bool
 	// FailsJob, if set, tells jobs that fail on every machine.
 	FailsJob func(id string) bool
-	Lease    time.Duration
+	// Stopped, if set, is told of a running task that is about to be stopped.
+	Stopped func(t *Task, saves bool)
+	Lease   time.Duration
 
 	Session  uint64
 	Seq      uint64
@@ -96,7 +99,7 @@
 			case w.Faulty, w.FailsJob != nil && w.FailsJob(job.ID):
 				t.State, t.Why = wire.TaskExited, wire.WhyError
 			default:
-				t.State, t.At = wire.TaskRunning, now.Add(w.RunTime(job))
+				t.State, t.At, t.Began = wire.TaskRunning, now.Add(w.RunTime(job)), now
 			}
 		case wire.TaskRunning:
 			t.State, t.Why = wire.TaskExited, wire.WhyDone
@@ -172,7 +175,11 @@
 			if c.GraceS != nil {
 				grace = *c.GraceS
 			}
-			if t.State == wire.TaskRunning && job.CheckpointS > 0 && grace >= job.SaveS {
+			saves := job.CheckpointS > 0 && grace >= job.SaveS
+			if w.Stopped != nil && t.State == wire.TaskRunning {
+				w.Stopped(t, saves)
+			}
+			if t.State == wire.TaskRunning && saves {
 				t.State, t.At = wire.TaskSaving, now.Add(time.Duration(job.SaveS*float64(time.Second)))
 			} else if t.State != wire.TaskSaving || grace == 0 {
 				t.State, t.Why = wire.TaskExited, wire.WhyStopped
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -55,6 +55,10 @@
 	copiesForNextLeader []func(*node)
 	// links are slow until then.
 	slowLinksUntil time.Time
+	drainWatch     *DrainWatch
+	// OnCharge, OnEviction and OnRelease, if set, are called as a charge is stored, a worker stops a
+	// task of a drained machine, and the cloud has released machines.
+	OnCharge, OnEviction, OnRelease func()
 	// Observed counts what has happened, by name: a test of a overlap of faults that did not
 	// come about would show nothing.
 	Observed map[Observation]int
@@ -81,6 +85,7 @@
 		failingJobs:      map[string]bool{},
 		Observed:         map[Observation]int{},
 	}
+	w.State.Committed = w.noteCommit
 	for i := range nodes {
 		n := &node{id: i, name: fmt.Sprintf("node-%d", i), zone: t.Zones[i%len(t.Zones)], up: true, drift: (w.rng.Float64() - 0.5) * 0.001}
 		w.nodes = append(w.nodes, n)
@@ -150,6 +155,9 @@
 		if w.err == nil {
 			w.err = w.Rules.Check(w.now, ws)
 		}
+		if w.err == nil {
+			w.err = w.checkDrains(ws)
+		}
 		if settled := w.faultsEnd.Add(longestFaultTail); w.err == nil && w.now.After(settled) {
 			if w.err = w.Rules.Forgotten(w.now, settled); w.err == nil {
 				w.err = w.Rules.LeftWaiting(w.now, ws)
--- a/internal/simtest/world_admission.go
+++ b/internal/simtest/world_admission.go
@@ -12,12 +12,15 @@
 )
 
 // operatorOf are the operators' settings of a node: of the previous version, and of one
-// where admission control is off, without it.
+// where admission control or drains are off, without them.
 func (w *World) operatorOf(n *node) config.Operator {
 	o := w.Operator
 	if n.previousVersion || n.admissionOff {
 		o.Admission = nil
 	}
+	if n.previousVersion || n.drainsOff {
+		o.Drains = nil
+	}
 	return o
 }
 
--- a/internal/simtest/world_machines.go
+++ b/internal/simtest/world_machines.go
@@ -42,6 +42,9 @@
 		for _, id := range call.Release {
 			w.remove(id)
 		}
+		if w.OnRelease != nil {
+			w.OnRelease()
+		}
 	}
 	answer := func() {
 		if n.controller != p {
@@ -156,6 +159,7 @@
 	m.RunTime = func(j *wire.Job) time.Duration {
 		return time.Duration(j.EstimateS * (0.5 + w.rng.Float64()) * float64(time.Second))
 	}
+	m.Stopped = func(t *Task, saves bool) { w.noteStop(m, t, saves) }
 	m.FailsJob = func(id string) bool { return w.failingJobs[id] }
 	m.Faulty = w.faultsAllowed() && w.chance(0.05)
 	m.target = w.rng.IntN(len(w.nodes))
--- a/internal/simtest/world_nodes.go
+++ b/internal/simtest/world_nodes.go
@@ -36,6 +36,7 @@
 	refusedUntil          time.Time // the state service answers 503 to this node until then
 	frozenUntil           time.Time // stands still until then, while its clocks run on
 	previousVersion       bool      // runs the version before the dependent jobs
+	drainsOff             bool      // its operators have not turned drains on
 	admissionOff          bool      // its operators have not turned admission control on
 	gate                  *admission.Gate
 	heard                 map[string]admission.NodeOffers // as last told by the other nodes
@@ -274,6 +275,7 @@
 	w.updateAdmission(n, p)
 	p.Tick(now, authority)
 	if authority {
+		p.AdvanceDrains(now, w.now)
 		for _, call := range p.Plan(now) {
 			w.call(n, p, call)
 		}
