Drains: commands for operators, and tests of the parts

Found by the test over loopback: a leader without any machine took itself for cut off from most of them, and a drain waited for ever (TestDrainOfAnEmptyZoneEnds).

--- a/cmd/switchshore/main.go
+++ b/cmd/switchshore/main.go
@@ -24,26 +24,33 @@
 var version = "0.1.0"
 
 type options struct {
-	Config   string           `help:"Settings file of the platform (TOML)." placeholder:"PATH" required:""`
-	Operator string           `help:"The operators' own settings (XML)." placeholder:"PATH" env:"SWITCHSHORE_OPERATOR"`
-	Check    bool             `help:"Check the settings and exit."`
-	Version  kong.VersionFlag `help:"Print the version and exit."`
+	Serve   serveCommand     `cmd:"" default:"withargs" help:"Run a controller (the default)."`
+	Drain   drainCommand     `cmd:"" help:"Drain machines batch by batch, within the teams' disruption budgets."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// serveCommand runs a controller until it is killed.
+type serveCommand struct {
+	Config   string `help:"Settings file of the platform (TOML)." placeholder:"PATH" required:""`
+	Operator string `help:"The operators' own settings (XML)." placeholder:"PATH" env:"SWITCHSHORE_OPERATOR"`
+	Check    bool   `help:"Check the settings and exit."`
 }
 
 func main() {
 	var opts options
-	kong.Parse(&opts,
+	command := kong.Parse(&opts,
 		kong.Name("switchshore"),
 		kong.Description("A controller of the switchshore cluster scheduler: runs until it is killed, logs to standard error (LOG_LEVEL: error, info, debug)."),
 		kong.Vars{"version": "switchshore " + version},
 	)
-	if err := run(opts); err != nil && !errors.Is(err, context.Canceled) {
+	if err := command.Run(&opts); err != nil && !errors.Is(err, context.Canceled) {
 		fmt.Fprintln(os.Stderr, "switchshore:", err)
 		os.Exit(1)
 	}
 }
 
-func run(opts options) error {
+// Run serves.
+func (opts *serveCommand) Run() error {
 	level, err := logLevel(os.Getenv("LOG_LEVEL"))
 	if err != nil {
 		return err
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"switchshore.example/switchshore/internal/config"
 )
@@ -191,3 +192,41 @@
 		}
 	}
 }
+
+// TestDrainsElement: budgets are read as written, for all teams and for single ones, and each
+// mistake is refused by its field.
+func TestDrainsElement(t *testing.T) {
+	p := &config.Params{Teams: []config.Team{{Name: "blue"}, {Name: "green"}}}
+	parse := func(text string) (*config.Operator, error) {
+		return config.ParseOperator([]byte("<switchshore>"+text+"</switchshore>"), p)
+	}
+	o, err := parse(`<drains windowSeconds="120"><budget team="blue" evictions="0"/><budget maxUnavailable="3" lostSeconds="9.5"/></drains>`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	blue, green := o.Drains.For("blue"), o.Drains.For("green")
+	if o.Drains.Window != 2*time.Minute || blue.Evictions != 0 || blue.MaxUnavailable != 3 || green.LostS != 9.5 || green.Evictions == 0 {
+		t.Errorf("%+v", o.Drains)
+	}
+	if o, err := parse(""); err != nil || o.Drains != nil {
+		t.Errorf("on without the element: %v", err)
+	}
+	for text, field := range map[string]string{
+		`<drains windowSeconds="1"/>`:                                 "drains/windowSeconds",
+		`<drains windowSeconds="x"/>`:                                 "drains/windowSeconds",
+		`<drains speed="1"/>`:                                         "drains/speed",
+		`<drains><limit/></drains>`:                                   "drains/limit",
+		`<drains><budget team="red"/></drains>`:                       "drains/budget[red]/team",
+		`<drains><budget team="blue"/><budget team="blue"/></drains>`: "drains/budget[blue]",
+		`<drains><budget maxUnavailable="-1"/></drains>`:              "drains/budget/maxUnavailable",
+		`<drains><budget evictions="1.5"/></drains>`:                  "drains/budget/evictions",
+		`<drains><budget team="blue" lostSeconds="NaN"/></drains>`:    "drains/budget[blue]/lostSeconds",
+		`<drains><budget team="blue" lostSeconds="1e300"/></drains>`:  "drains/budget[blue]/lostSeconds",
+		`<drains><budget evictions="99999999"/></drains>`:             "drains/budget/evictions",
+		`<drains><budget team="blue" max="1"/></drains>`:              "drains/budget[blue]/max",
+	} {
+		if _, err := parse(text); err == nil || !strings.Contains(err.Error(), field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
--- a/internal/controller/helpers_test.go
+++ b/internal/controller/helpers_test.go
@@ -44,7 +44,12 @@
 
 func newLeader(t *testing.T, term uint64, now time.Time, kept map[string]json.RawMessage) *leader {
 	t.Helper()
-	c := controller.New(zerolog.Nop(), params, config.Operator{}, term, now, controller.Grace(params.Workers))
+	return newLeaderWith(t, config.Operator{}, term, now, kept)
+}
+
+func newLeaderWith(t *testing.T, operator config.Operator, term uint64, now time.Time, kept map[string]json.RawMessage) *leader {
+	t.Helper()
+	c := controller.New(zerolog.Nop(), params, operator, term, now, controller.Grace(params.Workers))
 	for _, prefix := range controller.Prefixes {
 		for _, k := range slices.Sorted(maps.Keys(kept)) {
 			if strings.HasPrefix(k, prefix) {
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -226,6 +226,8 @@
 	Chain int
 	// Scores are the pairs of job and machine looked at so far.
 	Scores int
+	// DrainLooks are the machines and attempts that drains have looked at so far.
+	DrainLooks int
 	// UsedCPUs may be in use, of the CPUs of machines that are up; WantedCPUs
 	// are those of ready tasks.
 	CPUs, UsedCPUs, WantedCPUs float64
@@ -233,7 +235,7 @@
 
 // Counts returns the sums.
 func (c *Controller) Counts() Counts {
-	n := Counts{Jobs: len(c.jobs), Machines: len(c.machines), Writes: c.queued(), Scores: c.scores}
+	n := Counts{Jobs: len(c.jobs), Machines: len(c.machines), Writes: c.queued(), Scores: c.scores, DrainLooks: c.drainLooks}
 	n.Chain = c.openSteps()
 	for _, j := range c.jobs {
 		n.Ready += len(j.ready)
--- a/internal/controller/reachability.go
+++ b/internal/controller/reachability.go
@@ -39,7 +39,7 @@
 			delete(c.partitionedZones, zone)
 		}
 	}
-	return rest.share() < tuning.ReachableShare
+	return rest.known > 0 && rest.share() < tuning.ReachableShare
 }
 
 // heardCount counts machines known to be up and those of them that are missed.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -30,6 +30,7 @@
 type cluster struct {
 	t     *testing.T
 	addrs []string
+	peers []string
 	stop  []context.CancelFunc
 	ended []chan struct{}
 	// services are the state service and the cloud.
@@ -68,6 +69,7 @@
 	for i := range size {
 		c.addrs = append(c.addrs, freeAddr(t))
 		peers = append(peers, config.Peer{Name: fmt.Sprint("n", i), Addr: freeAddr(t)})
+		c.peers = append(c.peers, peers[i].Addr)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/internal/simtest/drain_test.go
+++ b/internal/simtest/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -202,3 +203,34 @@
 		}
 	})
 }
+
+// TestEachBudgetCheckFires: the watch finds each budget exceeded, and nothing before.
+func TestEachBudgetCheckFires(t *testing.T) {
+	at := time.Unix(1_700_000_000, 0)
+	running := func(string) bool { return false }
+	for want, c := range map[string]struct {
+		budget drain.Budget
+		lostS  float64
+		back   bool // the tasks run again at once
+	}{
+		"budget: 2 tasks of blue are unavailable": {drain.Budget{MaxUnavailable: 1, Evictions: 9, LostS: 99}, 1, false},
+		"budget: 2 evictions of blue":             {drain.Budget{MaxUnavailable: 9, Evictions: 1, LostS: 99}, 1, true},
+		"budget: 20 s of blue lost":               {drain.Budget{MaxUnavailable: 9, Evictions: 9, LostS: 19}, 10, true},
+	} {
+		watch := simtest.NewDrainWatch(&drain.Budgets{Window: time.Minute, Default: c.budget})
+		worker := simtest.NewWorker(at, wire.ListedMachine{Name: "m2"}, machineType, time.Hour)
+		evict := func(task string) error {
+			watch.Evicted(at, "blue", task, 1, c.lostS)
+			if c.back {
+				worker.Tasks[task] = &simtest.Task{Name: task, Attempt: 2, State: wire.TaskRunning}
+			}
+			return watch.Check(at, []*simtest.Worker{worker}, running)
+		}
+		first := evict("job-1/0")
+		at = at.Add(59 * time.Second)
+		second := evict("job-1/1")
+		if first != nil || second == nil || !strings.HasPrefix(second.Error(), want) {
+			t.Errorf("%s: first %v, then %v", want, first, second)
+		}
+	}
+}
