Planner: a task takes its place from its placement on, not only while it runs

In the log 104 places ended 17 tasks of 4 s a second, so each took 6 s; the planner counted 4, and rented for a backlog that was to begin far sooner than it did.

Change: the smoothed time between placing a task on a machine that has its image and hearing that it runs is added to the estimate of waiting tasks, at most two report intervals (TestPlanCountsTheTimeThatStartsTake fails without).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -42,6 +42,7 @@
 	unsavedCompletions map[*job]time.Time // jobs with unwritten completions, since when
 	teams              map[string]*team
 	runTimes           runTimes
+	startDelay         startDelay
 
 	machines       map[string]*machine
 	machinesByName []*machine
--- a/internal/controller/estimates.go
+++ b/internal/controller/estimates.go
@@ -28,6 +28,18 @@
 	return estimate
 }
 
+// startDelay is the smoothed time in seconds between placing a task on a machine that has its
+// image and hearing that it runs. The task takes its place all that time: planned with its run
+// time alone, a backlog of short tasks was to end far sooner than it did.
+type startDelay float64
+
+// observe learns from a task that was placed so many seconds before it was heard to run. What
+// takes longer than two reports is a machine's trouble, not what the next task will take.
+func (d *startDelay) observe(seconds, reportS float64) {
+	seconds = min(seconds, 2*reportS)
+	*d += startDelay((seconds - float64(*d)) * tuning.StartDelayWeight)
+}
+
 // urgency orders jobs of one priority: by slack, and by the time that all
 // machines together would need for the rest of the job, as under a backlog
 // more jobs end in time when the small ones go first. Jobs without a time to
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -264,7 +264,7 @@
 			continue
 		}
 		demand = append(demand, provision.Demand{
-			Tasks: n, HorizonS: c.horizon(now, j), Need: j.need, EstimateS: r.EstimateS,
+			Tasks: n, HorizonS: c.horizon(now, j), Need: j.need, EstimateS: r.EstimateS + float64(c.startDelay),
 			Types: j.Types, Zone: j.Zone, Spot: j.Spot, Avoid: j.failedOn,
 		})
 	}
--- a/internal/controller/scale_test.go
+++ b/internal/controller/scale_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -410,3 +411,53 @@
 		t.Errorf("%d changes wait", n.Writes)
 	}
 }
+
+// TestPlanCountsTheTimeThatStartsTake: a place is taken from the placement of a task, not only
+// while it runs. Short tasks that are slow to start need more machines to begin in time;
+// planned with their run time alone, urgent jobs under a backlog were late.
+func TestPlanCountsTheTimeThatStartsTake(t *testing.T) {
+	for _, slow := range []bool{false, true} {
+		l := newLeader(t, 1, start, map[string]json.RawMessage{})
+		l.Listed(l.now, l.now, nil)
+		l.report("m1", 1)
+		var tasks []wire.TaskReport
+		for i := range 60 {
+			tasks = l.startOneSlowly(fmt.Sprintf("job-%d", i+10), slow)
+			tasks[0].State, tasks[0].Why = wire.TaskExited, wire.WhyDone
+			l.report("m1", 1, tasks...)
+			l.commit()
+		}
+		backlog := spec("job-1")
+		backlog.Tasks, backlog.CPUs, backlog.EstimateS = 16, 1, 28 // within the limit of the team
+		l.Submit(l.now, l.now, backlog, func(controller.Verdict) {})
+		l.commit()
+		l.pass(2 * time.Second)
+		l.report("m1", 1)
+		if rented := rents(l.Plan(l.now)); rented != slow {
+			t.Errorf("starts slow: %v, rented: %v", slow, rented)
+		}
+	}
+}
+
+// startOneSlowly brings a short task to run on m1, some seconds after it was placed if slow.
+func (l *leader) startOneSlowly(id string, slow bool) []wire.TaskReport {
+	l.t.Helper()
+	j := spec(id)
+	j.EstimateS = 4
+	l.Submit(l.now, l.now, j, func(controller.Verdict) {})
+	l.commit()
+	l.pass(time.Second)
+	l.commit()
+	commands := l.report("m1", 1)
+	started := slices.IndexFunc(commands, func(c wire.Command) bool { return c.Op == wire.OpStart })
+	if started < 0 {
+		l.t.Fatalf("not started: %s", ops(commands))
+	}
+	if slow {
+		l.now = l.now.Add(5 * time.Second)
+	}
+	running := []wire.TaskReport{{Task: commands[started].Task, Attempt: commands[started].Attempt, State: wire.TaskRunning}}
+	l.report("m1", 1, running...)
+	l.now = l.now.Add(4 * time.Second)
+	return running
+}
--- a/internal/controller/tasklist.go
+++ b/internal/controller/tasklist.go
@@ -112,6 +112,9 @@
 	if a.state.hasImage() && !before.hasImage() {
 		j.running++
 		a.runningAt = now
+		if _, cached := m.images[j.Image]; cached && a.number>>32 == c.term {
+			c.startDelay.observe(now.Sub(a.orderedAt).Seconds(), c.params.Workers.ReportS)
+		}
 		m.images[j.Image] = now
 		c.changed = true
 		c.countRunning(a)
