--- a/cmd/overload/main.go
+++ b/cmd/loadtest/overload.go
@@ -1,28 +1,23 @@
-// Command overload measures admission control: two clusters of three controllers each, as
-// processes on loopback, one with admission control on and one with it off, get the same
-// load, several times what they can take. It writes histories and a report.
 package main
 
 import (
 	"context"
 	"fmt"
 	"os"
-	"os/exec"
-	"os/signal"
 	"path/filepath"
 	"time"
 
-	"github.com/alecthomas/kong"
 	"golang.org/x/sync/errgroup"
 
-	"switchshore.example/switchshore/internal/overloadtest"
+	"switchshore.example/switchshore/internal/loadtest"
 )
 
-type options struct {
+// overloadCommand measures admission control: two clusters of three controllers each, one with
+// admission control on and one with it off, get the same load, several times what they can take.
+type overloadCommand struct {
+	common
 	Seconds  int     `help:"How long the load lasts, at most 1200." default:"600"`
 	Rate     float64 `help:"New jobs a second, at most 100; one team submits as many again." default:"50"`
-	Seed     uint64  `help:"Seed of the load." default:"1"`
-	Out      string  `help:"Folder for binary, settings, logs, histories and the report." default:"target/overload"`
 	Machines int     `help:"Measure a fleet of that many machines with work for all of them, instead of an overload; at most 4000." default:"0"`
 	Report   bool    `help:"Only check the histories that are there and write the report."`
 }
@@ -52,18 +47,8 @@
 
 var variants = []variant{{"on", withAdmission}, {"off", "<switchshore/>"}}
 
-func main() {
-	var o options
-	kong.Parse(&o, kong.Name("overload"), kong.Description("Measures admission control on loopback; bounded in rate and time."))
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	if err := run(ctx, o); err != nil {
-		fmt.Fprintln(os.Stderr, "overload:", err)
-		os.Exit(1)
-	}
-}
-
-func run(ctx context.Context, o options) error {
+// Run measures, and writes the report.
+func (o *overloadCommand) Run(ctx context.Context) error {
 	if o.Seconds < 60 || o.Seconds > maxSeconds || o.Rate <= 0 || o.Rate > maxRate {
 		return fmt.Errorf("--seconds must be 60 to %d, --rate above 0 and at most %d", maxSeconds, maxRate)
 	}
@@ -82,15 +67,16 @@
 }
 
 // play runs both variants side by side.
-func play(ctx context.Context, o options) error {
-	binary, err := build(ctx, o)
+func play(ctx context.Context, o *overloadCommand) error {
+	binary, err := o.build(ctx)
 	if err != nil {
 		return err
 	}
-	load := overloadtest.Options{
+	load := loadtest.Options{
 		Duration: time.Duration(o.Seconds) * time.Second, Rate: o.Rate, Seed: o.Seed, Tasks: 2, TaskTime: 4 * time.Second, Flood: true,
+		KillLeader: []time.Duration{time.Duration(o.Seconds) * time.Second / 2},
 	}
-	size := overloadtest.Size{Machines: 20, WriteRPS: 40, ReportEvery: time.Second}
+	size := loadtest.Size{Machines: 20, WriteRPS: 40, ReportEvery: time.Second, Zones: []string{"a"}}
 	var group errgroup.Group
 	for _, v := range variants {
 		group.Go(func() error { return playVariant(ctx, o, v, binary, load, size) })
@@ -98,55 +84,35 @@
 	return group.Wait()
 }
 
-// build makes the controllers' binary.
-func build(ctx context.Context, o options) (string, error) {
-	binary, err := filepath.Abs(filepath.Join(o.Out, "switchshore"))
-	if err != nil {
-		return "", err
-	}
-	if err := os.MkdirAll(o.Out, 0o755); err != nil {
-		return "", err
-	}
-	command := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/switchshore")
-	command.Stderr = os.Stderr
-	return binary, command.Run()
-}
-
 // measureFleet keeps a fleet of the given size busy and tells what that costs the controllers.
-func measureFleet(ctx context.Context, o options) error {
-	binary, err := build(ctx, o)
+func measureFleet(ctx context.Context, o *overloadCommand) error {
+	binary, err := o.build(ctx)
 	if err != nil {
 		return err
 	}
 	const taskTime, tasks = 60 * time.Second, 1000
 	perSecond := float64(o.Machines*cpus) / taskTime.Seconds() / tasks
-	load := overloadtest.Options{
+	load := loadtest.Options{
 		Duration: time.Duration(o.Seconds) * time.Second, Rate: perSecond * surplus, Seed: o.Seed, Tasks: tasks, TaskTime: taskTime,
+		KillLeader: []time.Duration{time.Duration(o.Seconds) * time.Second / 2},
 	}
-	size := overloadtest.Size{Machines: o.Machines, WriteRPS: 180, ReportEvery: 3 * time.Second}
+	size := loadtest.Size{Machines: o.Machines, WriteRPS: 180, ReportEvery: 3 * time.Second, Zones: []string{"a"}}
 	return playVariant(ctx, o, variants[0], binary, load, size)
 }
 
-func playVariant(ctx context.Context, o options, v variant, binary string, load overloadtest.Options, size overloadtest.Size) error {
-	folder := filepath.Join(o.Out, v.name)
-	if err := os.RemoveAll(folder); err != nil {
-		return err
-	}
-	if err := os.MkdirAll(folder, 0o755); err != nil {
-		return err
-	}
-	operator := filepath.Join(folder, "operator.xml")
-	if err := os.WriteFile(operator, []byte(v.operator), 0o600); err != nil {
+func playVariant(ctx context.Context, o *overloadCommand, v variant, binary string, load loadtest.Options, size loadtest.Size) error {
+	folder, operator, err := o.prepare(v.name, v.operator)
+	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, load.Duration+overloadtest.LongestObjective()+pollSlack)
+	ctx, cancel := context.WithTimeout(ctx, load.Duration+loadtest.LongestObjective()+pollSlack)
 	defer cancel()
-	cluster, err := overloadtest.StartCluster(ctx, binary, operator, folder, size)
+	cluster, err := loadtest.StartCluster(ctx, binary, operator, folder, size)
 	if err != nil {
 		return err
 	}
 	time.AfterFunc(load.Duration-time.Second, func() { fmt.Println(v.name, "sockets:", cluster.Sockets()) })
-	history, err := overloadtest.Run(ctx, cluster, load)
+	history, err := loadtest.Run(ctx, cluster, load)
 	cancel()
 	cluster.Wait()
 	if err != nil {
@@ -155,24 +121,24 @@
 	for _, u := range cluster.Usage() {
 		fmt.Printf("%s node %d: %v of processor time, %d MiB at most\n", v.name, u.Node, u.CPU.Round(time.Second), u.MaxMemory)
 	}
-	return overloadtest.Save(historyFile(o, v), history)
+	return loadtest.Save(historyFile(o, v), history)
 }
 
-func historyFile(o options, v variant) string {
+func historyFile(o *overloadCommand, v variant) string {
 	return filepath.Join(o.Out, v.name, "history.parquet")
 }
 
 // report checks the histories and writes the page; a problem in the run with admission
 // control on is an error.
-func report(o options) error {
-	plan := overloadtest.Plan{Begin: warmUp, End: time.Duration(o.Seconds) * time.Second, Window: window, Objectives: overloadtest.Objectives}
-	var results []*overloadtest.Result
+func report(o *overloadCommand) error {
+	plan := loadtest.Plan{Begin: warmUp, End: time.Duration(o.Seconds) * time.Second, Window: window, Objectives: loadtest.Objectives}
+	var results []*loadtest.Result
 	for _, v := range variants {
-		history, err := overloadtest.Load(historyFile(o, v))
+		history, err := loadtest.Load(historyFile(o, v))
 		if err != nil {
 			return err
 		}
-		result, err := overloadtest.NewResult("admission "+v.name, history, plan)
+		result, err := loadtest.NewResult("admission "+v.name, history, plan)
 		if err != nil {
 			return err
 		}
@@ -191,7 +157,7 @@
 		return err
 	}
 	defer file.Close()
-	if err := overloadtest.WriteReport(file, results); err != nil {
+	if err := loadtest.WriteReport(file, results); err != nil {
 		return err
 	}
 	if n := len(results[0].Problems); n > 0 {
--- a/internal/controller/drain_replace.go
+++ b/internal/controller/drain_replace.go
@@ -92,7 +92,8 @@
 // replacementCalls are the rentals that the running drain's batch waits for.
 func (c *Controller) replacementCalls(now time.Time) []CloudCall {
 	d := c.awaitingReplacements()
-	if d == nil {
+	if d == nil || !c.listsComplete {
+		// A new leader must not rent anew what an earlier one has rented and no list has told yet.
 		return nil
 	}
 	for _, r := range c.pendingRentals {
@@ -140,7 +141,7 @@
 		return
 	}
 	// Those that have gone meanwhile make room in the record.
-	d.Batch.Replacements = slices.DeleteFunc(d.Batch.Replacements, func(name string) bool { return c.machines[name] == nil })
+	d.Batch.Replacements = slices.DeleteFunc(d.Batch.Replacements, c.gone)
 	d.Batch.Replacements = append(d.Batch.Replacements, machines...)
 	d.Counts.Replacements += len(machines)
 	c.storeDrain(d, nil)
--- a/internal/controller/drain_test.go
+++ b/internal/controller/drain_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"switchshore.example/switchshore/internal/config"
+	"switchshore.example/switchshore/internal/controller"
 	"switchshore.example/switchshore/internal/drain"
 	"switchshore.example/switchshore/internal/tuning"
 	"switchshore.example/switchshore/wire"
@@ -266,3 +267,109 @@
 		}
 	}
 }
+
+// TestReplacementsThatNeverCome: while the cloud has none the batch waits and is not cordoned; after
+// the patience the drain is paused and says why, and once resumed it tries again.
+func TestReplacementsThatNeverCome(t *testing.T) {
+	l := newLeaderWith(t, drainOperator(ample), 5, start, map[string]json.RawMessage{})
+	l.submit("job-1")
+	l.report("m1", 1)
+	l.list("m1")
+	l.pass(time.Second)
+	l.commit()
+	task := wire.TaskReport{Task: "job-1/0", Attempt: l.report("m1", 1)[0].Attempt, State: wire.TaskRunning}
+	rentals := 0
+	step := func() {
+		l.report("m1", 1, task)
+		l.list("m1")
+		for _, call := range l.Plan(l.now) {
+			if call.Op == controller.CloudRent {
+				rentals++
+				l.Rented(l.now, call.Rent, nil)
+			}
+		}
+		l.commit()
+	}
+	l.advance(40*time.Second, step)
+	q := drainOf("maintenance", "m1")
+	q.Spec.Replace = true
+	l.drainRequest(q)
+	l.advance(tuning.ReplacementPatience-10*time.Second, step)
+	show := drain.Request{Action: drain.Show, Name: "maintenance"}
+	if s := l.drainRequest(show).Drains[0]; s.State != drain.Running || s.Batch == nil || s.Batch.Cordoned || rentals < 10 {
+		t.Fatalf("%+v after %d rentals", s, rentals)
+	}
+	l.advance(20*time.Second, step)
+	if s := l.drainRequest(show).Drains[0]; s.State != drain.Paused || s.Reason != string(drain.NoReplacement) {
+		t.Fatalf("%+v", s)
+	}
+	paused := rentals
+	l.advance(time.Minute, step)
+	if rentals != paused {
+		t.Error("rented for a drain that is paused")
+	}
+	l.drainRequest(drain.Request{Action: drain.Resume, Name: "maintenance"})
+	l.advance(time.Minute, step)
+	if rentals == paused {
+		t.Error("not tried again")
+	}
+}
+
+// TestReplacementsAreRentedOnce: a batch waits for as many replacements as it has machines, and goes
+// once they take work. A successor that finds them in the record, and not yet in a list, rents none.
+func TestReplacementsAreRentedOnce(t *testing.T) {
+	l := newLeaderWith(t, drainOperator(ample), 5, start, map[string]json.RawMessage{})
+	at := func(m string) wire.ListedMachine {
+		return wire.ListedMachine{Name: m, Type: "std-8", Zone: "a", State: wire.MachineRunning, AgeS: 100}
+	}
+	var onFirst []wire.TaskReport
+	listed := func(l *leader, names ...string) {
+		var rows []wire.ListedMachine
+		for i, name := range names {
+			l.report(name, 1, onFirst[:len(onFirst)*(1-i)]...)
+			rows = append(rows, at(name))
+		}
+		l.Listed(l.now, l.now, rows)
+	}
+	l.submit("job-1")
+	listed(l, "m1")
+	l.pass(time.Second)
+	l.commit()
+	onFirst = []wire.TaskReport{{Task: "job-1/0", Attempt: l.report("m1", 1)[0].Attempt, State: wire.TaskRunning}}
+	l.advance(40*time.Second, func() { listed(l, "m1") })
+	q := drainOf("maintenance", "m1")
+	q.Spec.Replace = true
+	l.drainRequest(q)
+	var rentals []wire.RentRequest
+	l.advance(10*time.Second, func() {
+		listed(l, "m1")
+		for _, call := range l.Plan(l.now) {
+			if call.Op == controller.CloudRent {
+				rentals = append(rentals, call.Rent)
+				l.Rented(l.now, call.Rent, []string{"m2"})
+			}
+		}
+		l.commit()
+	})
+	if len(rentals) != 1 || rentals[0].Count != 1 {
+		t.Fatalf("rented %+v", rentals)
+	}
+	next := newLeaderWith(t, drainOperator(ample), 6, l.now, l.kept)
+	next.seq = l.seq
+	next.advance(6*time.Second, func() {
+		listed(next, "m1")
+		if rents(next.Plan(next.now)) {
+			t.Fatal("a successor rents again what is not listed yet")
+		}
+	})
+	state := func() drain.Status {
+		return next.drainRequest(drain.Request{Action: drain.Show, Name: "maintenance"}).Drains[0]
+	}
+	if s := state(); s.Batch == nil || s.Batch.Cordoned {
+		t.Fatalf("cordoned before the replacement is up: %+v", s.Batch)
+	}
+	next.advance(5*time.Second, func() { listed(next, "m1", "m2") })
+	if s := state(); s.Batch == nil || !s.Batch.Cordoned {
+		t.Errorf("not cordoned though the replacement is up: %+v, %s", s.Batch, s.Reason)
+	}
+}
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -233,6 +233,10 @@
 		if r.State != Running {
 			t.Fatal("paused before the deadline")
 		}
+		r.Wait(now.Add(2*time.Minute), Reason{Cause: WaitMachines})
+		if r.State != Running {
+			t.Fatal("paused while its machines are being released")
+		}
 		r.Wait(now.Add(2*time.Minute), reason)
 		if (r.State == Paused) == force || r.Forced(now.Add(2*time.Minute)) != force || !strings.Contains(r.Reason.String(), "(team blue)") {
 			t.Errorf("force %v: %s, %s", force, r.State, r.Reason)
--- a/internal/drain/record.go
+++ b/internal/drain/record.go
@@ -182,10 +182,13 @@
 // Forced reports whether tasks that have no other place are stopped all the same.
 func (r *Record) Forced(now time.Time) bool { return r.Spec.Force && r.pastDeadline(now) }
 
+// endsByItself reports whether a wait is part of the drain's progress.
+func (c Cause) endsByItself() bool { return c == WaitTasks || c == WaitMachines }
+
 // Wait notes why the drain makes no progress; past its deadline it is paused, unless it is
-// forced. It reports whether the record has changed.
+// forced or about to go on. It reports whether the record has changed.
 func (r *Record) Wait(now time.Time, reason Reason) bool {
-	if r.pastDeadline(now) && !r.Spec.Force {
+	if r.pastDeadline(now) && !r.Spec.Force && !reason.Cause.endsByItself() {
 		reason.Deadline = true
 		return r.Pause(reason)
 	}
--- a/internal/overloadtest/check.go
+++ b/internal/loadtest/check.go
@@ -1,4 +1,4 @@
-package overloadtest
+package loadtest
 
 import (
 	"cmp"
--- a/internal/overloadtest/cluster.go
+++ b/internal/loadtest/cluster.go
@@ -1,4 +1,4 @@
-package overloadtest
+package loadtest
 
 import (
 	"bufio"
@@ -39,6 +39,10 @@
 	WriteRPS float64
 	// ReportEvery is the workers' interval.
 	ReportEvery time.Duration
+	// RunTime is for how long a job's tasks run; as estimated if it is nil.
+	RunTime func(*wire.Job) time.Duration
+	// Zones are those that machines can be rented in.
+	Zones []string
 }
 
 // Usage is what a controller's process has used in the end.
@@ -60,7 +64,7 @@
 state = "%s"
 [facts]
 initial_size = 3
-zones = ["a"]
+zones = ["%s"]
 clock_error_ms = 250.0
 %s
 [facts.workers]
@@ -127,12 +131,15 @@
 	size     Size
 	folder   string
 	addrs    []string
+	peers    []string // addresses for operators' commands
 	services *simtest.Server
 
 	mu        sync.Mutex
 	jobs      map[string]*wire.Job
 	processes []*exec.Cmd
 	leader    int
+	tasks     []TaskEvent
+	begun     time.Time
 	usage     []Usage
 	waiting   sync.WaitGroup
 }
@@ -141,9 +148,9 @@
 func StartCluster(ctx context.Context, binary, operator, folder string, size Size) (*Cluster, error) {
 	c := &Cluster{
 		ctx: ctx, binary: binary, operator: operator, folder: folder, size: size, jobs: map[string]*wire.Job{},
-		processes: make([]*exec.Cmd, nodes), leader: -1,
+		processes: make([]*exec.Cmd, nodes), leader: -1, begun: time.Now(),
 		services: simtest.NewServer(wire.MachineType{
-			Name: "std-8", CPUs: 8, MemoryGB: 32, FetchGBPerS: 1, CacheGB: 20, Price: 1, SpotPrice: 0.4, BootS: 1, Zones: []string{"a"},
+			Name: "std-8", CPUs: 8, MemoryGB: 32, FetchGBPerS: 1, CacheGB: 20, Price: 1, SpotPrice: 0.4, BootS: 1, Zones: size.Zones,
 		}),
 	}
 	c.services.Cloud.Capacity = size.Machines
@@ -167,9 +174,8 @@
 
 // writeSettings gives every controller a settings file with addresses that are free.
 func (c *Cluster) writeSettings(services string) error {
-	var peers []string
 	for range nodes {
-		for _, list := range []*[]string{&c.addrs, &peers} {
+		for _, list := range []*[]string{&c.addrs, &c.peers} {
 			ln, err := net.Listen("tcp4", "127.0.0.1:0")
 			if err != nil {
 				return err
@@ -180,12 +186,12 @@
 	}
 	for i := range nodes {
 		var others strings.Builder
-		for k, addr := range peers {
+		for k, addr := range c.peers {
 			if k != i {
 				fmt.Fprintf(&others, "[[peers]]\nlabel = \"node-%d\"\ndomain = \"a\"\naddr = \"%s\"\n", k, addr)
 			}
 		}
-		text := fmt.Sprintf(settings, i, c.addrs[i], peers[i], others.String(), services, services, teams+objectives(),
+		text := fmt.Sprintf(settings, i, c.addrs[i], c.peers[i], others.String(), services, services, strings.Join(c.size.Zones, `", "`), teams+objectives(),
 			c.size.ReportEvery.Seconds(), c.size.WriteRPS)
 		if err := os.WriteFile(c.path(i, "toml"), []byte(text), 0o600); err != nil {
 			return err
@@ -308,11 +314,17 @@
 	row.Addr = "127.0.0.1:1"
 	w := simtest.NewWorker(time.Now(), row, c.services.Cloud.Type, leaseTime)
 	w.Jobs = c.job
-	w.RunTime = func(j *wire.Job) time.Duration { return time.Duration(j.EstimateS * float64(time.Second)) }
+	w.RunTime = c.size.RunTime
+	if w.RunTime == nil {
+		w.RunTime = func(j *wire.Job) time.Duration { return time.Duration(j.EstimateS * float64(time.Second)) }
+	}
+	watch := c.watchTasks(w)
+	defer watch.lost()
 	client := &fasthttp.Client{MaxConnsPerHost: 1}
 	at := int(w.LeaseEnd.UnixNano() % nodes)
 	for c.ctx.Err() == nil && c.services.Rented(row.Name) {
 		w.Advance(time.Now())
+		watch.look()
 		sent := time.Now()
 		body, _ := json.Marshal(w.Report())
 		var answer wire.ReportAnswer
--- /dev/null
+++ b/internal/loadtest/drain_test.go
@@ -0,0 +1,43 @@
+package loadtest
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"switchshore.example/switchshore/internal/drain"
+)
+
+// event is what a worker of zone a saw of a task of blue, which has lost so much.
+func event(at time.Duration, task, what string, lost time.Duration) TaskEvent {
+	return TaskEvent{AtMS: at.Milliseconds(), Zone: "a", Task: task, Team: "blue", Event: what, LostMS: lost.Milliseconds()}
+}
+
+// TestBudgetsAreCheckedByTheWorkersHistory: stops count until the task runs again, and within the
+// window; what a lost machine or another zone does is no eviction.
+func TestBudgetsAreCheckedByTheWorkersHistory(t *testing.T) {
+	const second = time.Second
+	other := event(3*second, "job-1/9", TaskStopped, second)
+	other.Zone = "b"
+	history := []TaskEvent{
+		event(0, "job-1/0", TaskRuns, 0), event(1*second, "job-1/0", TaskStopped, 10*second), event(2*second, "job-1/1", TaskSaved, 0),
+		other, event(4*second, "job-1/0", TaskRuns, 0), event(5*second, "job-1/2", TaskLost, 30*second),
+		event(40*second, "job-1/3", TaskStopped, 5*second), event(70*second, "job-1/4", TaskStopped, 7*second),
+	}
+	found := Disruptions(history, "a", time.Minute)
+	want := Disruption{
+		Team: "blue", Stopped: 4, Saved: 1, Lost: 1, LostTime: 52 * second, MostUnavailable: 3, MostEvictions: 3, MostLost: 15 * second,
+	}
+	if len(found) != 1 || found[0] != want {
+		t.Fatalf("%+v", found)
+	}
+	kept := drain.Budget{MaxUnavailable: 3, Evictions: 3, LostS: 15}
+	if p := CheckBudgets(found, &drain.Budgets{Default: kept}); len(p) > 0 {
+		t.Error(p)
+	}
+	for _, b := range []drain.Budget{{MaxUnavailable: 2, Evictions: 3, LostS: 15}, {MaxUnavailable: 3, Evictions: 2, LostS: 15}, {MaxUnavailable: 3, Evictions: 3, LostS: 14}} {
+		if p := CheckBudgets(found, &drain.Budgets{Default: b}); len(p) != 1 || !strings.HasPrefix(p[0], "blue") {
+			t.Errorf("%+v: %v", b, p)
+		}
+	}
+}
--- a/internal/overloadtest/history.go
+++ b/internal/loadtest/history.go
@@ -1,7 +1,7 @@
-// Package overloadtest measures admission control outside CI: it runs controllers as
-// processes on loopback against stand-ins, submits several times what they can take, keeps
-// the history of every answer, checks it, and draws a report.
-package overloadtest
+// Package loadtest measures outside CI: it runs controllers as processes on loopback against
+// stand-ins and under load, keeps the history of every answer and of every task, checks it, and
+// draws a report.
+package loadtest
 
 import (
 	"fmt"
@@ -44,8 +44,8 @@
 // at is when the answer came.
 func (a *Answer) at() time.Duration { return time.Duration(a.SentMS+a.TookMS) * time.Millisecond }
 
-// Save writes a history as a columnar file.
-func Save(path string, history []Answer) error {
+// Save writes a history, of answers or of tasks, as a columnar file.
+func Save[Row any](path string, history []Row) error {
 	return parquet.WriteFile(path, history, parquet.Compression(&parquet.Zstd))
 }
 
--- a/internal/overloadtest/load.go
+++ b/internal/loadtest/load.go
@@ -1,4 +1,4 @@
-package overloadtest
+package loadtest
 
 import (
 	"context"
@@ -29,6 +29,12 @@
 	// Tasks and TaskTime are those of a job.
 	Tasks    int
 	TaskTime time.Duration
+	// CheckpointEvery is the interval at which tasks of the class "nightly" save checkpoints, 0 for never.
+	CheckpointEvery time.Duration
+	// OnePriority gives all jobs the same priority: none is preempted.
+	OnePriority bool
+	// KillLeader are the times at which the leader is killed.
+	KillLeader []time.Duration
 	// Flood lets a script of one team submit as many jobs again, and two teams in bursts.
 	Flood bool
 }
@@ -40,6 +46,8 @@
 	// jobs each, each submitted at two of them.
 	burstEvery = 30 * time.Second
 	burstJobs  = 60
+	// saveTime is what a task that saves checkpoints takes to save when it is stopped.
+	saveTime = time.Second
 )
 
 // stream is what one team submits of one class, as its part of the rate.
@@ -71,7 +79,7 @@
 	history []Answer
 }
 
-// Run plays the load against the cluster, kills the leader once half way, and returns the
+// Run plays the load against the cluster, kills the leader at the given times, and returns the
 // history.
 func Run(ctx context.Context, c *Cluster, o Options) ([]Answer, error) {
 	l := &load{
@@ -95,11 +103,13 @@
 			l.submitBursts(ctx, o.Duration)
 		}()
 	}
-	if err := store.Pause(ctx, o.Duration/2); err != nil {
-		return nil, err
-	}
-	if err := c.KillLeader(); err != nil {
-		return nil, err
+	for _, at := range o.KillLeader {
+		if err := store.Pause(ctx, at-time.Since(l.begun)); err != nil {
+			return nil, err
+		}
+		if err := c.KillLeader(); err != nil {
+			return nil, err
+		}
 	}
 	// At the end of the context every user stops where he is; the checker tells whose job
 	// is not over.
@@ -139,6 +149,12 @@
 		ID: id, Class: s.class, Team: s.team, Kind: wire.KindArray, Priority: s.priority, Tasks: l.options.Tasks, CPUs: 1,
 		MemoryGB: 1, Image: "img", ImageGB: 0.1, Spot: true, EstimateS: l.options.TaskTime.Seconds(),
 	}
+	if l.options.OnePriority {
+		j.Priority = wire.PriorityNormal
+	}
+	if s.class == "nightly" && l.options.CheckpointEvery > 0 {
+		j.CheckpointS, j.SaveS = l.options.CheckpointEvery.Seconds(), saveTime.Seconds()
+	}
 	l.cluster.mu.Lock()
 	l.cluster.jobs[id] = j
 	l.cluster.mu.Unlock()
--- a/internal/overloadtest/report.go
+++ b/internal/loadtest/report.go
@@ -1,4 +1,4 @@
-package overloadtest
+package loadtest
 
 import (
 	"bytes"
@@ -21,8 +21,10 @@
 	Rows     []Row
 	Jain     float64
 	Problems []string
-	Accepted template.URL // plots, as images within the page
-	Waits    template.URL
+	// Disruptions are what drains, and lost machines, did to the teams' work.
+	Disruptions []Disruption
+	Accepted    template.URL // plots, as images within the page
+	Waits       template.URL
 }
 
 const (
@@ -114,14 +116,17 @@
 }
 
 var page = template.Must(template.New("report").Parse(`<!DOCTYPE html>
-<html lang="en"><meta charset="utf-8"><title>Admission under overload</title>
+<html lang="en"><meta charset="utf-8"><title>Load test</title>
 <style>body{font:15px sans-serif;margin:2em;max-width:75em}td,th{padding:2px 12px;text-align:right}img{max-width:48%}</style>
-<h1>Admission under overload</h1>
+<h1>Load test</h1>
 {{range .}}<h2>{{.Name}}</h2>
 <p>Jain's fairness index over the teams: {{printf "%.3f" .Jain}}. Problems found by the checker: {{len .Problems}}.</p>
 <table><tr><th>team</th><th>class</th><th>asked</th><th>accepted</th><th>given up</th><th>tries</th><th>p50</th><th>p95</th><th>done</th><th>done p50</th></tr>
 {{range .Rows}}<tr><td>{{.Team}}</td><td>{{.Class}}</td><td>{{.Asked}}</td><td>{{.Accepted}}</td><td>{{.GivenUp}}</td><td>{{.Tries}}</td><td>{{.P50}}</td><td>{{.P95}}</td><td>{{.Done}}</td><td>{{.DoneP50}}</td></tr>
 {{end}}</table>
+{{if .Disruptions}}<table><tr><th>team</th><th>stopped</th><th>saved</th><th>lost with machines</th><th>run time lost</th><th>most unavailable</th><th>most evictions in a window</th><th>most lost in a window</th></tr>
+{{range .Disruptions}}<tr><td>{{.Team}}</td><td>{{.Stopped}}</td><td>{{.Saved}}</td><td>{{.Lost}}</td><td>{{.LostTime}}</td><td>{{.MostUnavailable}}</td><td>{{.MostEvictions}}</td><td>{{.MostLost}}</td></tr>
+{{end}}</table>{{end}}
 <p><img src="{{.Accepted}}" alt="accepted a second, by team"> <img src="{{.Waits}}" alt="time to acceptance"></p>
 {{if .Problems}}<ul>{{range .Problems}}<li>{{.}}</li>{{end}}</ul>{{end}}
 {{end}}</html>
--- a/internal/simtest/drain_test.go
+++ b/internal/simtest/drain_test.go
@@ -72,69 +72,80 @@
 	jobsOver time.Duration
 	inject   func(w *simtest.World, seed uint64)
 	observed []simtest.Observation
+	// shape, if set, is that of the jobs in the place of movableWork.
+	shape func(*rand.Rand, *wire.Job)
+}
+
+// manyTasks is movable work of far more tasks than the teams' limits allow at a time.
+func manyTasks(rng *rand.Rand, j *wire.Job) {
+	atTeamLimit(rng, j)
+	j.Priority = wire.PriorityNormal
 }
 
 // drainBegins is when the scenarios' drains are applied.
 const drainBegins = 50 * second
 
 var drainScenarios = []drainScenario{
-	{"tasks half done", maintenance, 120 * second, func(*simtest.World, uint64) {}, []simtest.Observation{simtest.DrainMove}},
-	{"replaced", withReplacement, 200 * second, func(*simtest.World, uint64) {}, nil},
+	{"tasks half done", maintenance, 120 * second, func(*simtest.World, uint64) {}, []simtest.Observation{simtest.DrainMove}, nil},
+	{"replaced", withReplacement, 200 * second, func(*simtest.World, uint64) {}, nil, nil},
 	{"the leader ends between charge and stop", maintenance, 120 * second, func(w *simtest.World, seed uint64) {
 		w.OnCharge = crashSometimes(w, seed, second)
-	}, []simtest.Observation{simtest.SecondTerm}},
+	}, []simtest.Observation{simtest.SecondTerm}, nil},
 	{"the leader ends between stop and report", maintenance, 120 * second, func(w *simtest.World, seed uint64) {
 		w.OnEviction = crashSometimes(w, seed, 300*time.Millisecond)
-	}, []simtest.Observation{simtest.SecondTerm}},
+	}, []simtest.Observation{simtest.SecondTerm}, nil},
 	{"the leader ends between release and answer", withReplacement, 200 * second, func(w *simtest.World, seed uint64) {
 		w.OnRelease = crashSometimes(w, seed, second)
-	}, []simtest.Observation{simtest.SecondTerm}},
+	}, []simtest.Observation{simtest.SecondTerm}, nil},
 	{"two successions within a batch, the old leader in its grace", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
 		w.At(75*second, func() { w.Inject(simtest.LeaderIsolated, 25*second) })
 		w.At(82*second, func() { w.CrashLeader(second) })
-	}, []simtest.Observation{simtest.SecondTerm}},
+	}, []simtest.Observation{simtest.SecondTerm}, nil},
 	{"all controllers away for longer than a lease", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
 		w.At(80*second, func() { w.CrashAll(25 * second) })
-	}, []simtest.Observation{simtest.SecondTerm}},
+	}, []simtest.Observation{simtest.SecondTerm}, nil},
 	{"the state service is down in a batch, and refuses the leader alone", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
 		w.At(70*second, func() { w.Inject(simtest.StateOutage, 30*second) })
 		w.At(130*second, func() { w.Inject(simtest.LeaderRefused, 20*second) })
-	}, nil},
+	}, nil, nil},
 	{"answers to writes lost, and writes late", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
 		w.At(50*second, func() { w.Inject(simtest.AnswersToWritesLost, 60*second) })
 		w.At(110*second, func() { w.Inject(simtest.WritesLate, 60*second) })
-	}, []simtest.Observation{simtest.WriteAnswerLost, simtest.LateTransaction}},
+	}, []simtest.Observation{simtest.WriteAnswerLost, simtest.LateTransaction}, nil},
 	{"the drained zone is partitioned, machines deaf or hanging", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
 		w.At(70*second, func() { w.DropAnswersToHolders(0.3, 40*second) })
 		w.At(90*second, func() { w.Inject(simtest.ZonePartitioned, 30*second) })
 		w.At(130*second, func() {
 			w.InjectFaults(simtest.MachineHangs, simtest.MachinePartitioned, simtest.ReportsDuplicatedLate)
 		})
-	}, []simtest.Observation{simtest.HolderAnswersLost}},
+	}, []simtest.Observation{simtest.HolderAnswersLost}, nil},
 	{"replacements late, never up or recalled", withReplacement, 200 * second, func(w *simtest.World, _ uint64) {
 		w.At(50*second, func() { w.BootTrouble(100 * second) })
 		w.At(90*second, func() { w.Inject(simtest.SpotReclaimed, 0) })
 		w.At(120*second, func() { w.Inject(simtest.SpotReclaimed, 0) })
-	}, nil},
+	}, nil, nil},
 	{"jobs cancelled while their machines are drained", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
 		for i := range 8 {
 			w.At(time.Duration(60+10*i)*second, func() { w.CancelRunning(2, 0) })
 		}
 		w.At(85*second, func() { w.CrashLeader(second) })
-	}, []simtest.Observation{simtest.CancelledWhileRunning, simtest.SecondTerm}},
+	}, []simtest.Observation{simtest.CancelledWhileRunning, simtest.SecondTerm}, nil},
+	{"teams at their limits, a guarantee to be met, a new leader", maintenance, 60 * second, func(w *simtest.World, _ uint64) {
+		w.At(90*second, func() { w.CrashLeader(second) })
+	}, []simtest.Observation{simtest.SecondTerm}, manyTasks},
 	{"a node with drains off leads in between", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
 		w.DrainsOff(1)
 		w.At(80*second, func() { w.CrashLeader(5 * second) })
 		w.At(120*second, func() { w.CrashLeader(5 * second) })
-	}, []simtest.Observation{simtest.SecondTerm}},
+	}, []simtest.Observation{simtest.SecondTerm}, nil},
 	{"the previous version leads in between", maintenance, 120 * second, func(w *simtest.World, _ uint64) {
 		w.VersionFlipRate = 0.6
 		for i := range 5 {
 			w.At(time.Duration(65+25*i)*second, func() { w.CrashLeader(3 * second) })
 		}
-	}, []simtest.Observation{simtest.SecondTerm}},
-	{"anything", maintenance, 120 * second, func(w *simtest.World, _ uint64) { w.InjectFaults() }, nil},
-	{"anything, replaced", withReplacement, 200 * second, func(w *simtest.World, _ uint64) { w.InjectFaults() }, nil},
+	}, []simtest.Observation{simtest.SecondTerm}, nil},
+	{"anything", maintenance, 120 * second, func(w *simtest.World, _ uint64) { w.InjectFaults() }, nil, nil},
+	{"anything, replaced", withReplacement, 200 * second, func(w *simtest.World, _ uint64) { w.InjectFaults() }, nil, nil},
 }
 
 // playDrain plays a day on which a zone is drained.
@@ -144,7 +155,11 @@
 	w.Cloud.Capacity = 8
 	w.FaultRate = 1
 	w.WatchDrains(drainBudgets())
-	submitRandomJobs(w, seed, 30, s.jobsOver, 0.1, movableWork)
+	shape := movableWork
+	if s.shape != nil {
+		shape = s.shape
+	}
+	submitRandomJobs(w, seed, 30, s.jobsOver, 0.1, shape)
 	w.RequestDrain(drainBegins, apply(s.spec()), nil)
 	s.inject(w, seed)
 	return runToEnd(t, w)
@@ -234,3 +249,28 @@
 		}
 	}
 }
+
+// TestDrainUnderOverload: no batch begins while new jobs are shed; the drain ends after that, and
+// every submission comes to one end.
+func TestDrainUnderOverload(t *testing.T) {
+	eachSeed(t, 3, func(t *testing.T, seed uint64) {
+		f := newFlood(t, 800+seed)
+		f.WatchDrains(drainBudgets())
+		for i := range f.Params.Teams {
+			f.Params.Teams[i].CPUs = 0 // a guarantee would hold the batch back, too
+		}
+		f.normalLoad(120 * second)
+		f.submit("blue", "nightly", 30, 20*second, 80*second, nil)
+		f.RequestDrain(15*second, apply(maintenance()), nil)
+		f.At(48*second, func() {
+			if r := f.DrainRecord("maintenance"); r == nil || r.Batch != nil || r.Counts.Batches > 0 {
+				t.Errorf("a batch began under overload: %+v", r)
+			}
+		})
+		f.At(50*second, func() { f.CrashLeader(second) })
+		f.play(simtest.ShedByFollower, simtest.ShedByLeader)
+		if r := f.DrainRecord("maintenance"); r == nil || r.State != drain.Done {
+			t.Errorf("not drained: %+v", r)
+		}
+	})
+}
--- a/internal/simtest/http.go
+++ b/internal/simtest/http.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -47,6 +48,15 @@
 	return s.Cloud.rows[name] != nil
 }
 
+// ReleaseZone takes all machines of a zone away, and returns how many there were.
+func (s *Server) ReleaseZone(zone string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := len(s.Cloud.rows)
+	maps.DeleteFunc(s.Cloud.rows, func(_ string, row *cloudRow) bool { return row.Zone == zone })
+	return before - len(s.Cloud.rows)
+}
+
 // Serve answers both services on ln.
 func (s *Server) Serve(ln net.Listener) error {
 	return (&fasthttp.Server{Handler: s.handle}).Serve(ln)
