--- a/cmd/loadtest/drain.go
+++ b/cmd/loadtest/drain.go
@@ -22,6 +22,7 @@
 	common
 	Seconds int     `help:"How long the load lasts, 120 to 600." default:"180"`
 	Rate    float64 `help:"New jobs of four tasks a second, at most 2." default:"1"`
+	Lost    float64 `help:"Run time that each team may lose in a minute, in seconds." default:"100"`
 }
 
 const (
@@ -36,7 +37,10 @@
 	taskTime   = 25 * time.Second
 )
 
-var measuredBudget = drain.Budget{MaxUnavailable: 8, Evictions: 30, LostS: 500}
+// budget is that of each team.
+func (o *drainCommand) budget() drain.Budget {
+	return drain.Budget{MaxUnavailable: 8, Evictions: 30, LostS: o.Lost}
+}
 
 const withDrains = `<switchshore><admission/><drains windowSeconds="%g"><budget maxUnavailable="%d" evictions="%d" lostSeconds="%g"/></drains></switchshore>`
 
@@ -51,8 +55,8 @@
 
 // Run plays both variants side by side and writes what came of them.
 func (o *drainCommand) Run(ctx context.Context) error {
-	if o.Seconds < 120 || o.Seconds > 600 || o.Rate <= 0 || o.Rate > 2 {
-		return fmt.Errorf("--seconds must be 120 to 600, --rate above 0 and at most 2")
+	if o.Seconds < 120 || o.Seconds > 600 || o.Rate <= 0 || o.Rate > 2 || o.Lost < 0 {
+		return fmt.Errorf("--seconds must be 120 to 600, --rate above 0 and at most 2, --lost not below 0")
 	}
 	binary, err := o.build(ctx)
 	if err != nil {
@@ -77,7 +81,7 @@
 }
 
 func (o *drainCommand) play(ctx context.Context, binary string, r *drainResult) error {
-	b := measuredBudget
+	b := o.budget()
 	folder, operator, err := o.prepare(r.name, fmt.Sprintf(withDrains, drainWindow.Seconds(), b.MaxUnavailable, b.Evictions, b.LostS))
 	if err != nil {
 		return err
@@ -132,7 +136,7 @@
 
 // report prints and draws both runs; a budget that is exceeded is an error.
 func (o *drainCommand) report(results []*drainResult) error {
-	budgets := &drain.Budgets{Window: drainWindow, Default: measuredBudget}
+	budgets := &drain.Budgets{Window: drainWindow, Default: o.budget()}
 	plan := loadtest.Plan{Begin: warmUp, End: time.Duration(o.Seconds) * time.Second, Window: window}
 	var drawn []*loadtest.Result
 	var exceeded []string
--- a/internal/controller/drain_test.go
+++ b/internal/controller/drain_test.go
@@ -67,19 +67,26 @@
 	return keys
 }
 
-// TestChargeIsDurableBeforeTheStop: a task is stopped only once the charge is stored. A successor
-// that finds the charge stops the attempt without another one; one that finds the task running as
-// another attempt has to charge anew.
-func TestChargeIsDurableBeforeTheStop(t *testing.T) {
-	l := newLeaderWith(t, drainOperator(ample), 5, start, map[string]json.RawMessage{})
+// leaderWithTask is a leader with one task that runs on m1 and has done so for a while.
+func leaderWithTask(t *testing.T, operator config.Operator) (*leader, wire.TaskReport) {
+	t.Helper()
+	l := newLeaderWith(t, operator, 5, start, map[string]json.RawMessage{})
 	l.submit("job-1")
 	l.report("m1", 1)
 	l.list("m1")
 	l.pass(time.Second)
 	l.commit()
-	attempt := l.report("m1", 1)[0].Attempt
-	task := wire.TaskReport{Task: "job-1/0", Attempt: attempt, State: wire.TaskRunning}
+	task := wire.TaskReport{Task: "job-1/0", Attempt: l.report("m1", 1)[0].Attempt, State: wire.TaskRunning}
 	l.advance(40*time.Second, func() { l.report("m1", 1, task); l.list("m1") })
+	return l, task
+}
+
+// TestChargeIsDurableBeforeTheStop: a task is stopped only once the charge is stored. A successor
+// that finds the charge stops the attempt without another one; one that finds the task running as
+// another attempt has to charge anew.
+func TestChargeIsDurableBeforeTheStop(t *testing.T) {
+	l, task := leaderWithTask(t, drainOperator(ample))
+	attempt := task.Attempt
 	if r := l.drainRequest(drainOf("maintenance", "m1")); r.Status != http.StatusCreated {
 		t.Fatalf("%+v", r)
 	}
@@ -241,14 +248,7 @@
 // deadline the drain is paused with the team's name, or with force the task is stopped.
 func TestZoneBoundWorkHoldsADrain(t *testing.T) {
 	for _, force := range []bool{false, true} {
-		l := newLeaderWith(t, drainOperator(ample), 5, start, map[string]json.RawMessage{})
-		l.submit("job-1")
-		l.report("m1", 1)
-		l.list("m1")
-		l.pass(time.Second)
-		l.commit()
-		task := wire.TaskReport{Task: "job-1/0", Attempt: l.report("m1", 1)[0].Attempt, State: wire.TaskRunning}
-		l.advance(40*time.Second, func() { l.report("m1", 1, task); l.list("m1") })
+		l, task := leaderWithTask(t, drainOperator(ample))
 		deadline := l.now.Add(2 * time.Minute)
 		l.drainRequest(drain.Request{Action: drain.Apply, Spec: &drain.Spec{
 			Name: "zone", BatchSize: 1, Selector: drain.Selector{Zone: "a"}, Deadline: &deadline, Force: force,
@@ -271,13 +271,7 @@
 // TestReplacementsThatNeverCome: while the cloud has none the batch waits and is not cordoned; after
 // the patience the drain is paused and says why, and once resumed it tries again.
 func TestReplacementsThatNeverCome(t *testing.T) {
-	l := newLeaderWith(t, drainOperator(ample), 5, start, map[string]json.RawMessage{})
-	l.submit("job-1")
-	l.report("m1", 1)
-	l.list("m1")
-	l.pass(time.Second)
-	l.commit()
-	task := wire.TaskReport{Task: "job-1/0", Attempt: l.report("m1", 1)[0].Attempt, State: wire.TaskRunning}
+	l, task := leaderWithTask(t, drainOperator(ample))
 	rentals := 0
 	step := func() {
 		l.report("m1", 1, task)
@@ -290,7 +284,6 @@
 		}
 		l.commit()
 	}
-	l.advance(40*time.Second, step)
 	q := drainOf("maintenance", "m1")
 	q.Spec.Replace = true
 	l.drainRequest(q)
@@ -318,25 +311,17 @@
 // TestReplacementsAreRentedOnce: a batch waits for as many replacements as it has machines, and goes
 // once they take work. A successor that finds them in the record, and not yet in a list, rents none.
 func TestReplacementsAreRentedOnce(t *testing.T) {
-	l := newLeaderWith(t, drainOperator(ample), 5, start, map[string]json.RawMessage{})
-	at := func(m string) wire.ListedMachine {
-		return wire.ListedMachine{Name: m, Type: "std-8", Zone: "a", State: wire.MachineRunning, AgeS: 100}
-	}
-	var onFirst []wire.TaskReport
+	l, task := leaderWithTask(t, drainOperator(ample))
 	listed := func(l *leader, names ...string) {
-		var rows []wire.ListedMachine
-		for i, name := range names {
-			l.report(name, 1, onFirst[:len(onFirst)*(1-i)]...)
-			rows = append(rows, at(name))
+		for _, name := range names {
+			if name == "m1" {
+				l.report(name, 1, task)
+			} else {
+				l.report(name, 1)
+			}
 		}
-		l.Listed(l.now, l.now, rows)
+		l.list(names...)
 	}
-	l.submit("job-1")
-	listed(l, "m1")
-	l.pass(time.Second)
-	l.commit()
-	onFirst = []wire.TaskReport{{Task: "job-1/0", Attempt: l.report("m1", 1)[0].Attempt, State: wire.TaskRunning}}
-	l.advance(40*time.Second, func() { listed(l, "m1") })
 	q := drainOf("maintenance", "m1")
 	q.Spec.Replace = true
 	l.drainRequest(q)
--- a/internal/loadtest/cluster.go
+++ b/internal/loadtest/cluster.go
@@ -139,6 +139,7 @@
 	processes []*exec.Cmd
 	leader    int
 	tasks     []TaskEvent
+	progress  map[string]time.Duration // run time saved, by task
 	begun     time.Time
 	usage     []Usage
 	waiting   sync.WaitGroup
@@ -148,7 +149,7 @@
 func StartCluster(ctx context.Context, binary, operator, folder string, size Size) (*Cluster, error) {
 	c := &Cluster{
 		ctx: ctx, binary: binary, operator: operator, folder: folder, size: size, jobs: map[string]*wire.Job{},
-		processes: make([]*exec.Cmd, nodes), leader: -1, begun: time.Now(),
+		processes: make([]*exec.Cmd, nodes), leader: -1, begun: time.Now(), progress: map[string]time.Duration{},
 		services: simtest.NewServer(wire.MachineType{
 			Name: "std-8", CPUs: 8, MemoryGB: 32, FetchGBPerS: 1, CacheGB: 20, Price: 1, SpotPrice: 0.4, BootS: 1, Zones: size.Zones,
 		}),
@@ -318,6 +319,7 @@
 	if w.RunTime == nil {
 		w.RunTime = func(j *wire.Job) time.Duration { return time.Duration(j.EstimateS * float64(time.Second)) }
 	}
+	w.Progress = c.savedProgress
 	watch := c.watchTasks(w)
 	defer watch.lost()
 	client := &fasthttp.Client{MaxConnsPerHost: 1}
--- a/internal/loadtest/tasks.go
+++ b/internal/loadtest/tasks.go
@@ -105,6 +105,16 @@
 	t.cluster.mu.Lock()
 	defer t.cluster.mu.Unlock()
 	t.cluster.tasks = append(t.cluster.tasks, e)
+	if job.CheckpointS > 0 && event != TaskRuns {
+		t.cluster.progress[task.Name] += ran - lost
+	}
+}
+
+// savedProgress is the run time that a task has saved.
+func (c *Cluster) savedProgress(task string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.progress[task]
 }
 
 // TaskHistory is what the workers have seen so far, in order.
--- a/internal/simtest/worker.go
+++ b/internal/simtest/worker.go
@@ -31,7 +31,10 @@
 	Type    wire.MachineType
 	Jobs    func(id string) *wire.Job // what users uploaded
 	RunTime func(*wire.Job) time.Duration
-	Faulty  bool
+	// Progress, if set, tells the run time that a task has saved, on whatever machine; without it
+	// a task that is started again runs for its whole time.
+	Progress func(task string) time.Duration
+	Faulty   bool
 	// FailsJob, if set, tells jobs that fail on every machine.
 	FailsJob func(id string) bool
 	// Stopped, if set, is told of a running task that is about to be stopped.
@@ -99,7 +102,7 @@
 			case w.Faulty, w.FailsJob != nil && w.FailsJob(job.ID):
 				t.State, t.Why = wire.TaskExited, wire.WhyError
 			default:
-				t.State, t.At, t.Began = wire.TaskRunning, now.Add(w.RunTime(job)), now
+				t.State, t.At, t.Began = wire.TaskRunning, now.Add(w.timeLeft(t.Name, job)), now
 			}
 		case wire.TaskRunning:
 			t.State, t.Why = wire.TaskExited, wire.WhyDone
@@ -110,6 +113,15 @@
 	}
 }
 
+// timeLeft is for how long a task that begins now runs.
+func (w *Worker) timeLeft(task string, job *wire.Job) time.Duration {
+	left := w.RunTime(job)
+	if w.Progress != nil {
+		left -= w.Progress(task)
+	}
+	return max(0, left)
+}
+
 func (w *Worker) jobOf(task string) *wire.Job {
 	id, _, _ := wire.SplitTask(task)
 	return w.Jobs(id)
