--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -21,19 +21,20 @@
 		t.Fatalf("%+v, %v", s, err)
 	}
 	for name, c := range map[string]struct{ from, to, field string }{
-		"unknown element":      {"<batchSize>", "<speed>1</speed><batchSize>", "drain/speed"},
-		"element out of place": {"<zone>a</zone>", "<batchSize>1</batchSize>", "drain/selector/batchSize"},
-		"unknown attribute":    {"<drain ", `<drain zone="b" `, "drain/zone"},
-		"bad name":             {"zone-a", "Zone A", "name"},
-		"empty selection":      {"<zone>a</zone>", "", "selector"},
-		"no batch size":        {"<batchSize>5</batchSize>", "", "batchSize"},
-		"batch size below 1":   {">5<", ">0<", "batchSize"},
-		"absurd batch size":    {">5<", ">100000<", "batchSize"},
-		"deadline in the past": {"2026-12-03", "2026-12-01", "deadline"},
-		"deadline no time":     {"2026-12-03T04:00:00Z", "soon", "deadline"},
-		"force, no deadline":   {"<deadline>2026-12-03T04:00:00Z</deadline>", "", "force"},
-		"neither yes nor no":   {"<replace>yes", "<replace>maybe", "replace"},
-		"empty machine name":   {"<zone>a</zone>", "<machine> </machine>", "selector/machine"},
+		"unknown element":        {"<batchSize>", "<speed>1</speed><batchSize>", "drain/speed"},
+		"element out of place":   {"<zone>a</zone>", "<batchSize>1</batchSize>", "drain/selector/batchSize"},
+		"unknown attribute":      {"<drain ", `<drain zone="b" `, "drain/zone"},
+		"attribute out of place": {"<selector>", `<selector type="std-8">`, "drain/selector/type"},
+		"bad name":               {"zone-a", "Zone A", "name"},
+		"empty selection":        {"<zone>a</zone>", "", "selector"},
+		"no batch size":          {"<batchSize>5</batchSize>", "", "batchSize"},
+		"batch size below 1":     {">5<", ">0<", "batchSize"},
+		"absurd batch size":      {">5<", ">100000<", "batchSize"},
+		"deadline in the past":   {"2026-12-03", "2026-12-01", "deadline"},
+		"deadline no time":       {"2026-12-03T04:00:00Z", "soon", "deadline"},
+		"force, no deadline":     {"<deadline>2026-12-03T04:00:00Z</deadline>", "", "force"},
+		"neither yes nor no":     {"<replace>yes", "<replace>maybe", "replace"},
+		"empty machine name":     {"<zone>a</zone>", "<machine> </machine>", "selector/machine"},
 	} {
 		_, err := Parse([]byte(strings.Replace(sound, c.from, c.to, 1)), now)
 		var bad *FieldError
--- a/internal/drain/file.go
+++ b/internal/drain/file.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,22 +14,18 @@
 
 // file is a drain as an operator writes it; a field left out is empty.
 type file struct {
-	XMLName   xml.Name         `xml:"drain"`
-	Name      string           `xml:"name,attr"`
-	Zone      string           `xml:"selector>zone"`
-	Type      string           `xml:"selector>type"`
-	Machines  []string         `xml:"selector>machine"`
-	Before    string           `xml:"selector>rentedBefore"`
-	Replace   string           `xml:"replace"`
-	BatchSize string           `xml:"batchSize"`
-	Deadline  string           `xml:"deadline"`
-	Force     string           `xml:"force"`
-	Other     []unknownElement `xml:",any"`
-	Attrs     []xml.Attr       `xml:",any,attr"`
+	XMLName   xml.Name `xml:"drain"`
+	Name      string   `xml:"name,attr"`
+	Zone      string   `xml:"selector>zone"`
+	Type      string   `xml:"selector>type"`
+	Machines  []string `xml:"selector>machine"`
+	Before    string   `xml:"selector>rentedBefore"`
+	Replace   string   `xml:"replace"`
+	BatchSize string   `xml:"batchSize"`
+	Deadline  string   `xml:"deadline"`
+	Force     string   `xml:"force"`
 }
 
-type unknownElement struct{ XMLName xml.Name }
-
 // elements are those that a file may hold, by the element around them.
 var elements = map[string][]string{
 	"":               {"drain"},
@@ -45,9 +42,6 @@
 	if err := xml.Unmarshal(data, &f); err != nil {
 		return nil, err
 	}
-	if len(f.Attrs) > 0 {
-		return nil, &FieldError{Field: "drain/" + f.Attrs[0].Name.Local, Reason: "unknown attribute"}
-	}
 	s := &Spec{Name: f.Name, Selector: Selector{Zone: strings.TrimSpace(f.Zone), Type: strings.TrimSpace(f.Type)}}
 	for _, name := range f.Machines {
 		s.Selector.Machines = append(s.Selector.Machines, strings.TrimSpace(name))
@@ -74,8 +68,8 @@
 	return s, nil
 }
 
-// checkElements refuses what a drain can't hold: a mistyped element would otherwise select
-// more than was meant.
+// checkElements refuses elements and attributes that a drain can't have: a mistyped one would
+// otherwise select more than was meant.
 func checkElements(data []byte) error {
 	decoder := xml.NewDecoder(bytes.NewReader(data))
 	var path []string
@@ -91,13 +85,18 @@
 		switch t := token.(type) {
 		case xml.StartElement:
 			parent := strings.Join(path, "/")
-			if !contains(elements[parent], t.Name.Local) {
-				return &FieldError{Field: strings.Join(append(path, t.Name.Local), "/"), Reason: "unknown element"}
+			path = append(path, t.Name.Local)
+			if !slices.Contains(elements[parent], t.Name.Local) {
+				return &FieldError{Field: strings.Join(path, "/"), Reason: "unknown element"}
 			}
 			if parent == "" {
 				roots++
 			}
-			path = append(path, t.Name.Local)
+			for _, a := range t.Attr {
+				if parent != "" || a.Name.Local != "name" {
+					return &FieldError{Field: strings.Join(path, "/") + "/" + a.Name.Local, Reason: "unknown attribute"}
+				}
+			}
 		case xml.EndElement:
 			path = path[:len(path)-1]
 		}
@@ -108,15 +107,6 @@
 	return nil
 }
 
-func contains(list []string, name string) bool {
-	for _, s := range list {
-		if s == name {
-			return true
-		}
-	}
-	return false
-}
-
 // moment reads a time of day, nil if there is none.
 func moment(field, text string) (*time.Time, error) {
 	text = strings.TrimSpace(text)
