Drains reread: one place says what is cordoned; twins joined, dead results gone

The drain cordon of a machine was set in five places, each by what it knew. One of them was wrong: a batch that waits for its replacements lifted the cordon that a paused drain held on the same machine, and it got work again. It is derived from all drains in one place now (applyDrainCordon; TestNextDrainKeepsTheCordonOfAPausedOne fails without). This is the only change of behaviour.

Joined: the longest age of a machine list, unsaved progress (preemption had it), which offers are closed, the order of drains, the load test's page, the context that ends with a signal. Gone: results of Wait, Resume and Cancel that nobody used, a field of candidates that only their maker read. Damaged records that are left out are named by their kinds again.

--- a/cmd/loadtest/drain.go
+++ b/cmd/loadtest/drain.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -153,12 +152,7 @@
 		}
 		r.print(result)
 	}
-	file, err := os.Create(filepath.Join(o.Out, "drain.html"))
-	if err != nil {
-		return err
-	}
-	defer file.Close()
-	if err := loadtest.WriteReport(file, drawn); err != nil {
+	if err := o.writeReport("drain.html", drawn); err != nil {
 		return err
 	}
 	if len(exceeded) > 0 {
--- a/cmd/loadtest/main.go
+++ b/cmd/loadtest/main.go
@@ -12,6 +12,8 @@
 	"path/filepath"
 
 	"github.com/alecthomas/kong"
+
+	"switchshore.example/switchshore/internal/loadtest"
 )
 
 type options struct {
@@ -37,6 +39,16 @@
 	}
 }
 
+// writeReport writes the results as a page in the folder of the run.
+func (o *common) writeReport(name string, results []*loadtest.Result) error {
+	file, err := os.Create(filepath.Join(o.Out, name))
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return loadtest.WriteReport(file, results)
+}
+
 // build makes the controllers' binary.
 func (o *common) build(ctx context.Context) (string, error) {
 	binary, err := filepath.Abs(filepath.Join(o.Out, "switchshore"))
--- a/cmd/loadtest/overload.go
+++ b/cmd/loadtest/overload.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"path/filepath"
 	"time"
 
@@ -152,12 +151,7 @@
 			fmt.Println("  problem:", p)
 		}
 	}
-	file, err := os.Create(filepath.Join(o.Out, "report.html"))
-	if err != nil {
-		return err
-	}
-	defer file.Close()
-	if err := loadtest.WriteReport(file, results); err != nil {
+	if err := o.writeReport("report.html", results); err != nil {
 		return err
 	}
 	if n := len(results[0].Problems); n > 0 {
--- a/cmd/switchshore/drain.go
+++ b/cmd/switchshore/drain.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"switchshore.example/switchshore/internal/drain"
 	"switchshore.example/switchshore/internal/operatorcli"
@@ -44,14 +41,14 @@
 
 // do carries one request out, until it is interrupted.
 func (d *drainCommand) do(action drain.Action, name string) error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilSignal()
 	defer stop()
 	return d.client().Do(ctx, action, name)
 }
 
 // Run applies the drain of the file.
 func (c *applyCommand) Run(o *options) error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilSignal()
 	defer stop()
 	return o.Drain.client().Apply(ctx, c.File)
 }
--- a/cmd/switchshore/main.go
+++ b/cmd/switchshore/main.go
@@ -77,11 +77,16 @@
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilSignal()
 	defer stop()
 	return node.New(log, settings, operator).Run(ctx)
 }
 
+// untilSignal is a context that ends when the process is asked to end.
+func untilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
 func logLevel(name string) (zerolog.Level, error) {
 	switch name {
 	case "", "info":
--- a/internal/controller/drain_replace.go
+++ b/internal/controller/drain_replace.go
@@ -71,11 +71,7 @@
 // cordonBatch lets the machines of the batch take no new work any more.
 func (s *drainStep) cordonBatch() {
 	s.record.Batch.Cordoned, s.record.Batch.Since = true, s.wall.UnixMilli()
-	for _, name := range s.record.Batch.Machines {
-		if m := s.machines[name]; m != nil {
-			m.cordon(drained)
-		}
-	}
+	s.applyBatchCordon()
 	s.storeDrain(s.record, nil)
 }
 
--- a/internal/controller/drain_requests.go
+++ b/internal/controller/drain_requests.go
@@ -96,9 +96,7 @@
 	if len(c.drains) < tuning.DrainRecords {
 		return true
 	}
-	records := c.records()
-	slices.SortFunc(records, (*drain.Record).Compare)
-	for _, r := range records {
+	for _, r := range c.records() {
 		if r.State == drain.Cancelled || r.State == drain.Done && !r.Spec.Selector.Closes(r.Spec.Selector.Type, r.Spec.Selector.Zone) {
 			delete(c.drains, r.Spec.Name)
 			c.interactiveWrites.del(keyDrains + r.Spec.Name)
@@ -154,7 +152,7 @@
 		if m == nil {
 			continue
 		}
-		m.setCordon(drained, c.cordonedByDrain(name))
+		c.applyDrainCordon(m)
 		for _, a := range m.attempts {
 			if a.evicting && !a.stop {
 				a.evicting = false
@@ -168,7 +166,6 @@
 // drainStatuses are those of all drains, oldest first.
 func (c *Controller) drainStatuses(now, wall time.Time) []drain.Status {
 	records := c.records()
-	slices.SortFunc(records, (*drain.Record).Compare)
 	list := make([]drain.Status, 0, len(records))
 	for _, r := range records {
 		if d := c.drains[r.Spec.Name]; d.durable {
--- a/internal/controller/drain_state.go
+++ b/internal/controller/drain_state.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
@@ -96,7 +95,7 @@
 	}
 	c.loadedCharges = nil
 	for _, m := range c.machinesByName {
-		m.setCordon(drained, c.cordonedByDrain(m.id))
+		c.applyDrainCordon(m)
 	}
 }
 
@@ -127,18 +126,19 @@
 	c.interactiveWrites.put(key, charge.Encode(), then)
 }
 
-// records are those of all drains.
+// records are those of all drains, oldest first.
 func (c *Controller) records() []*drain.Record {
 	list := make([]*drain.Record, 0, len(c.drains))
 	for _, d := range c.drains {
 		list = append(list, d.Record)
 	}
+	slices.SortFunc(list, (*drain.Record).Compare)
 	return list
 }
 
-// cordonedByDrain reports whether a drain keeps a machine from taking new work.
-func (c *Controller) cordonedByDrain(machine string) bool {
-	return c.anyDrain(func(r *drain.Record) bool { return r.Cordons(machine) })
+// applyDrainCordon cordons a machine as long as a drain keeps it from taking new work.
+func (c *Controller) applyDrainCordon(m *machine) {
+	m.setCordon(drained, c.anyDrain(func(r *drain.Record) bool { return r.Cordons(m.id) }))
 }
 
 // closedByDrain reports whether a drain keeps machines of an offer from being rented.
@@ -176,14 +176,13 @@
 
 // lostProgress is the run time in seconds that goes with an attempt that is gone.
 func lostProgress(now time.Time, a *attempt) float64 {
-	ran := now.Sub(a.runningAt).Seconds()
 	switch {
 	case a.saved:
 		return 0
 	case a.job.CheckpointS > 0:
-		return math.Mod(ran, a.job.CheckpointS)
+		return unsavedProgress(now, a)
 	}
-	return ran
+	return now.Sub(a.runningAt).Seconds()
 }
 
 // countRunning counts a task that was interrupted as running again, unless it is the very
--- a/internal/controller/drain_step.go
+++ b/internal/controller/drain_step.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"switchshore.example/switchshore/internal/drain"
+	"switchshore.example/switchshore/internal/provision"
 	"switchshore.example/switchshore/internal/sched"
 	"switchshore.example/switchshore/internal/tuning"
 )
@@ -58,7 +59,7 @@
 
 // wait notes why there is no progress; past its deadline the drain is paused.
 func (s *drainStep) wait(cause drain.Cause, team string) {
-	if s.record.Wait(s.wall, drain.Reason{Cause: cause, Team: team}) && s.record.State == drain.Paused {
+	if s.record.Wait(s.wall, drain.Reason{Cause: cause, Team: team}) {
 		s.notePaused()
 	}
 }
@@ -110,13 +111,22 @@
 	s.record.Batch = &drain.Batch{Since: s.wall.UnixMilli(), Cordoned: !s.record.Spec.Replace}
 	for _, m := range batch {
 		s.record.Batch.Machines = append(s.record.Batch.Machines, m.id)
-		m.setCordon(drained, s.record.Batch.Cordoned)
 	}
+	s.applyBatchCordon()
 	s.record.Reason = drain.Reason{}
 	s.log.Info().Str("drain", s.record.Spec.Name).Strs("machines", s.record.Batch.Machines).Int("left", len(selected)).Msg("drain batch begins")
 	s.storeDrain(s.record, nil)
 }
 
+// applyBatchCordon cordons the machines of the batch if the record says so.
+func (s *drainStep) applyBatchCordon() {
+	for _, name := range s.record.Batch.Machines {
+		if m := s.machines[name]; m != nil {
+			s.applyDrainCordon(m)
+		}
+	}
+}
+
 // finish ends a drain that finds no machine any more, once those that are being released are gone.
 func (s *drainStep) finish(leaving int) {
 	if leaving > 0 || s.rentingSelected() {
@@ -291,10 +301,10 @@
 	j := a.job
 	e := drain.Candidate{
 		Team: j.Team, Attempt: drain.Attempt{Job: j.ID, Index: a.index, Number: a.number},
-		Saves: j.CheckpointS > 0, NoPlace: !s.hasOtherPlace(j),
+		NoPlace: !s.hasOtherPlace(j),
 	}
 	patience := tuning.DrainMovePatience
-	if !e.Saves {
+	if j.CheckpointS <= 0 {
 		patience = tuning.DrainPatience
 		e.LossS = s.lossAtMost(a)
 	}
@@ -337,10 +347,9 @@
 	var places []*sched.Machine
 	for _, t := range s.offers {
 		for _, zone := range t.Zones {
-			if s.anyDrain(func(r *drain.Record) bool { return r.Closes(t.Name, zone) }) {
-				continue
+			if !s.closedByDrain(provision.Offer{Type: t.Name, Zone: zone}) {
+				places = append(places, &sched.Machine{Type: t.Name, Zone: zone, Total: resources(t)})
 			}
-			places = append(places, &sched.Machine{Type: t.Name, Zone: zone, Total: resources(t)})
 		}
 	}
 	return places
--- a/internal/controller/drain_test.go
+++ b/internal/controller/drain_test.go
@@ -358,3 +358,28 @@
 		t.Errorf("not cordoned though the replacement is up: %+v, %s", s.Batch, s.Reason)
 	}
 }
+
+// TestNextDrainKeepsTheCordonOfAPausedOne: a machine that a paused drain has cordoned takes no work,
+// also while the next drain waits for a replacement before it cordons the same machine.
+func TestNextDrainKeepsTheCordonOfAPausedOne(t *testing.T) {
+	l, task := leaderWithTask(t, drainOperator(ample))
+	step := func() { l.report("m1", 1, task); l.list("m1"); l.commit() }
+	l.drainRequest(drainOf("first", "m1"))
+	l.advance(5*time.Second, step)
+	l.drainRequest(drain.Request{Action: drain.Pause, Name: "first"})
+	next := drainOf("next", "m1")
+	next.Spec.Replace = true
+	l.drainRequest(next)
+	l.advance(5*time.Second, step)
+	s := l.drainRequest(drain.Request{Action: drain.Show, Name: "next"}).Drains[0]
+	if s.Batch == nil || s.Batch.Cordoned {
+		t.Fatalf("the next drain does not wait for a replacement: %+v", s)
+	}
+	l.submit("job-2")
+	l.advance(3*time.Second, func() {
+		if commands := l.report("m1", 1, task); len(commands) > 0 {
+			t.Fatalf("a cordoned machine got %s", ops(commands))
+		}
+		l.commit()
+	})
+}
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -37,7 +37,8 @@
 	if err == nil {
 		return nil
 	}
-	if strings.Contains("cdneb", kind) {
+	switch kind {
+	case "c", "d", "n", "e", "b":
 		// The cloud tells the catalogue again, tasks without a completion run
 		// again, a piece may belong to no job, and drains can wait: no reason to serve nobody.
 		c.log.Error().Err(err).Str("key", item.Key).Msg("damaged record, left out")
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -182,7 +182,7 @@
 		unforgettable: map[exitKey]bool{},
 	}
 	c.machines[id] = m
-	m.setCordon(drained, c.cordonedByDrain(id))
+	c.applyDrainCordon(m)
 	i := sort.Search(len(c.machinesByName), func(i int) bool { return c.machinesByName[i].id >= id })
 	c.machinesByName = slices.Insert(c.machinesByName, i, m)
 	c.setCapacity(m)
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -316,8 +316,7 @@
 // Listed takes in a complete machine list, asked for at the given time.
 func (c *Controller) Listed(asked, now time.Time, list []wire.ListedMachine) {
 	c.listsApplied++
-	lag := seconds(c.params.Cloud.ListLagS * (1 + tuning.ClockDrift) * 2)
-	c.listsComplete = c.listsComplete || asked.Sub(c.started) > lag
+	c.listsComplete = c.listsComplete || asked.Sub(c.started) > c.longestListLag()
 	listed := make(map[string]bool, len(list))
 	for _, row := range list {
 		listed[row.Name] = true
@@ -353,13 +352,18 @@
 	}
 }
 
+// longestListLag is by how much a machine list may be older than the request for it.
+func (c *Controller) longestListLag() time.Duration {
+	return seconds(c.params.Cloud.ListLagS * (1 + tuning.ClockDrift) * 2)
+}
+
 // missingLongEnough counts the machines that a list lacks, and names those that are
 // provably gone. A machine stays listed until it is gone, and a list is at most twice
 // its lag old: one asked for later than that after a machine was first listed
 // describes a time at which it had been listed.
 func (c *Controller) missingLongEnough(asked time.Time, listed map[string]bool) []string {
 	var gone []string
-	lag := seconds(c.params.Cloud.ListLagS * (1 + tuning.ClockDrift) * 2)
+	lag := c.longestListLag()
 	for _, m := range c.machinesByName {
 		if listed[m.id] || m.listedAt.IsZero() && !m.recorded {
 			continue
--- a/internal/drain/budget.go
+++ b/internal/drain/budget.go
@@ -45,8 +45,6 @@
 	Attempt Attempt
 	// LossS is the run time that stopping the task throws away, at most.
 	LossS float64
-	// Saves: the task saves its progress when it is stopped.
-	Saves bool
 	// Ends: the task is expected to end in time by itself.
 	Ends bool
 	// NoPlace: the task could run nowhere else.
--- a/internal/drain/record.go
+++ b/internal/drain/record.go
@@ -186,15 +186,14 @@
 func (c Cause) endsByItself() bool { return c == WaitTasks || c == WaitMachines }
 
 // Wait notes why the drain makes no progress; past its deadline it is paused, unless it is
-// forced or about to go on. It reports whether the record has changed.
+// forced or about to go on. It reports whether it has been paused.
 func (r *Record) Wait(now time.Time, reason Reason) bool {
 	if r.pastDeadline(now) && !r.Spec.Force && !reason.Cause.endsByItself() {
 		reason.Deadline = true
 		return r.Pause(reason)
 	}
-	changed := r.Reason != reason
 	r.Reason = reason
-	return changed
+	return false
 }
 
 // Pause lets the drain stand still. It reports whether the record has changed.
@@ -207,24 +206,19 @@
 }
 
 // Resume lets a paused drain go on when it is its turn.
-func (r *Record) Resume(now time.Time) bool {
+func (r *Record) Resume(now time.Time) {
 	if r.State != Paused {
-		return false
+		return
 	}
 	r.State, r.Reason = Pending, Reason{}
 	if r.Batch != nil {
 		r.Batch.Since = now.UnixMilli()
 	}
-	return true
 }
 
 // Cancel ends a drain: what it has cordoned takes work again.
-func (r *Record) Cancel() bool {
-	if r.State == Cancelled {
-		return false
-	}
+func (r *Record) Cancel() {
 	r.State, r.Reason, r.Batch = Cancelled, Reason{}, nil
-	return true
 }
 
 // Compare orders drains by their creation.
