Log a task that a machine reports without a start record

Change: an attempt that no start record names is logged as a warning, with its number (the upper 32 bits are the term that sent the start) and the number of other machines that may have the task. Operators can use it: it is never expected.

--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -85,6 +85,7 @@
 func (l *Leader) applyLiveTask(now time.Time, m *machines.Machine, j *jobs.Job, index int32, t *wire.TaskStatus) {
 	a := m.Find(j, index)
 	if a == nil {
+		l.logUnrecordedTask(m, j, index, t)
 		a = machines.NewPossiblyStartedAttempt(m, j, index, now)
 		l.ledger.Allocate(a)
 		// A successor must find the attempt in a start record. No record contains it now, so it is
@@ -106,6 +107,14 @@
 	}
 }
 
+// logUnrecordedTask logs that a machine reports a task that no start record names for it. Starts are
+// recorded before they are sent, so the agent has executed a command a second time, or a record was
+// lost. Under other_machines is the number of other machines that may have the task.
+func (l *Leader) logUnrecordedTask(m *machines.Machine, j *jobs.Job, index int32, t *wire.TaskStatus) {
+	l.log.Warn().Str("machine", m.ID).Str("task", t.Task).Uint64("attempt", t.Attempt).Uint64("term", l.term).
+		Int("other_machines", j.AllocationsOf(index)).Msg("machine reports a task without a start record")
+}
+
 // recordRunning records that an attempt has begun to run.
 func (l *Leader) recordRunning(now time.Time, a *machines.Attempt) {
 	m, j := a.Machine, a.Job
