Raise a machine's fencing token before its agent forgets direct starts

Cause: a start sent by a direct call counted as unable to arrive again once the call was answered. After its exit the agent was told to forget the attempt, and from then on executed a late copy of the call, as token and session still matched. Change: each machine has a fencing token of its own within the range of the term. The response that tells an agent to forget attempts has a higher token than all direct calls with starts before it. The agent gets both or neither: it still lists the attempt, or refuses the copy. Tokens are reserved in blocks of 256 in the term record, in a transaction that is made anyway, before they are used, so the next term of either version has a higher number. Why it works: see startFence. Nothing is kept longer than before, in reports or memory.

--- a/internal/kvstore/fenced_writer.go
+++ b/internal/kvstore/fenced_writer.go
@@ -15,8 +15,9 @@
 // ErrDeposed means that the writer's term has ended.
 var ErrDeposed = errors.New("no longer the leader")
 
-// TermRecord is the value of the term key. Fence is a counter that the leader increments within
-// its term when a transaction gets no response.
+// TermRecord is the value of the term key. Term is the last fencing token that the leader may use. Its
+// first one is the number of its term, and the number of the next term is higher than Term. Fence is a
+// counter that the leader increments within its term, see FencedWriter.
 type TermRecord struct {
 	Term  uint64 `json:"term"`
 	Fence uint64 `json:"fence,omitempty"`
@@ -44,17 +45,18 @@
 // until the Outcome is Applied or Deposed. After OutcomeUnknown, it first reads the term key and
 // passes the result to ResolveUnknown. Commit runs these steps against a Store.
 type FencedWriter struct {
-	term            uint64
 	leaderCondition wire.Compare
 	termCondition   wire.Compare
-	lastFence       uint64
+	fence           TermRecord // what the next fence stores
+	reservedToken   uint64     // last fencing token that is durably reserved for the term
 
 	currentPart    []wire.Mutation   // changes of the next transaction, without the fence
 	remainingParts [][]wire.Mutation // later parts of a split transaction, in the order of sending
 	refusedKeys    []string          // keys of the changes that the store refused
-	// writesFence is set when a transaction for currentPart got no response. Every retry then also
-	// writes lastFence to the term key. When one copy has been applied, the term key has a new
-	// version, so the condition on the term key fails for all other copies.
+	// writesFence is set when a transaction for currentPart got no response, or when it has to
+	// reserve fencing tokens. It then also writes the fence to the term key. When one copy
+	// has been applied, the term key has a new version, so the condition on the term key fails for
+	// all other copies.
 	writesFence bool
 }
 
@@ -62,7 +64,8 @@
 // given versions.
 func NewFencedWriter(term, leaderVersion, termVersion uint64) *FencedWriter {
 	return &FencedWriter{
-		term:            term,
+		fence:           TermRecord{Term: term},
+		reservedToken:   term,
 		leaderCondition: wire.Compare{Key: KeyLeader, Version: leaderVersion},
 		termCondition:   wire.Compare{Key: KeyTerm, Version: termVersion},
 	}
@@ -71,6 +74,23 @@
 // Begin starts a group of changes. The outcome of the previous group must have been Applied.
 func (w *FencedWriter) Begin(writes []wire.Mutation) {
 	w.currentPart, w.remainingParts, w.refusedKeys, w.writesFence = writes, nil, nil, false
+	if w.fence.Term > w.reservedToken {
+		w.addFence()
+	}
+}
+
+// ReserveTokens makes the transactions of the next group also reserve the fencing tokens up to last for
+// this term. It does nothing if they are reserved already. They may be used once ReservedToken
+// returns at least last.
+func (w *FencedWriter) ReserveTokens(last uint64) { w.fence.Term = max(w.fence.Term, last) }
+
+// ReservedToken returns the last fencing token that is durably reserved for this term.
+func (w *FencedWriter) ReservedToken() uint64 { return w.reservedToken }
+
+// addFence makes the next transaction, and all its retries, write a new fence.
+func (w *FencedWriter) addFence() {
+	w.writesFence = true
+	w.fence.Fence++
 }
 
 // RefusedKeys returns the keys of the changes in the current group that the store refused and the
@@ -81,8 +101,7 @@
 func (w *FencedWriter) NextTxn() wire.Txn {
 	txn := wire.Txn{If: []wire.Compare{w.leaderCondition, w.termCondition}, Then: w.currentPart}
 	if w.writesFence {
-		record := TermRecord{Term: w.term, Fence: w.lastFence}
-		txn.Then = append(slices.Clip(w.currentPart), wire.Mutation{Put: KeyTerm, Value: record.Encode()})
+		txn.Then = append(slices.Clip(w.currentPart), wire.Mutation{Put: KeyTerm, Value: w.fence.Encode()})
 	}
 	return txn
 }
@@ -92,7 +111,7 @@
 	switch {
 	case err == nil:
 		if w.writesFence {
-			w.termCondition.Version = result.Revision
+			w.markFenceApplied(result.Revision)
 		}
 		return w.startNextPart()
 	case errors.Is(err, ErrConflict):
@@ -104,12 +123,17 @@
 	case errors.Is(err, ErrInvalidRequest):
 		return w.splitCurrent()
 	case errors.Is(err, httpclient.ErrNoResponse) && !w.writesFence:
-		w.writesFence = true
-		w.lastFence++
+		w.addFence()
 	}
 	return Retry
 }
 
+// markFenceApplied records that the term key holds the fence, in the given version.
+func (w *FencedWriter) markFenceApplied(version uint64) {
+	w.termCondition.Version = version
+	w.reservedToken = w.fence.Term
+}
+
 // ResolveUnknown processes the result of reading KeyTerm. The last transaction has been applied
 // if the key holds this writer's term and last fence.
 func (w *FencedWriter) ResolveUnknown(item wire.KeyValue, err error) Outcome {
@@ -121,10 +145,10 @@
 		return OutcomeUnknown
 	case json.Unmarshal(item.Value, &record) != nil:
 		return Deposed
-	case record != TermRecord{Term: w.term, Fence: w.lastFence}:
+	case record != w.fence:
 		return Deposed
 	}
-	w.termCondition.Version = item.Version
+	w.markFenceApplied(item.Version)
 	return w.startNextPart()
 }
 
--- a/internal/kvstore/fenced_writer_test.go
+++ b/internal/kvstore/fenced_writer_test.go
@@ -1,6 +1,7 @@
 package kvstore_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"reflect"
@@ -328,3 +329,40 @@
 	}
 	return writes
 }
+
+// TestReservedTokensAreDurable guards against a successor with a token that its predecessor has used:
+// tokens count as reserved only once the term key holds them, also if responses were lost or changes
+// were refused, and later fences keep them.
+func TestReservedTokensAreDurable(t *testing.T) {
+	for seed := range uint64(100) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			s, w := newStoreAndWriter(t)
+			f := &faultyCommits{t: t, store: s, writer: w, rng: rand.New(rand.NewPCG(seed, 1))}
+			s.Limits = config.KVStoreLimits{ValueKB: 1, TxnOps: 6}
+			for round := range 12 {
+				w.ReserveTokens(uint64(10 * (round / 3)))
+				f.commitRound(round + 2) // the store refuses oversized changes from round 2 on
+				if stored := storedTerm(t, s); w.ReservedToken() > max(1, stored) {
+					t.Fatalf("round %d: tokens up to %d count as reserved, the term key holds %d", round, w.ReservedToken(), stored)
+				}
+			}
+			if w.ReservedToken() != 30 {
+				t.Errorf("tokens up to %d are reserved, want 30", w.ReservedToken())
+			}
+		})
+	}
+}
+
+// storedTerm returns the number in the term key, 0 before the first fence.
+func storedTerm(t *testing.T, s *simulation.KeyValueStore) uint64 {
+	t.Helper()
+	item, err := s.Get(kvstore.KeyTerm)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var record kvstore.TermRecord
+	if json.Unmarshal(item.Value, &record) != nil {
+		return 0 // the value that newStoreAndWriter has stored
+	}
+	return record.Term
+}
--- a/internal/leader/direct_calls.go
+++ b/internal/leader/direct_calls.go
@@ -73,7 +73,7 @@
 	call := &DirectCall{
 		Machine:        m.ID,
 		Addr:           m.Addr,
-		Request:        wire.CommandRequest{FencingToken: l.term, AgentEpoch: m.Epoch()},
+		Request:        wire.CommandRequest{FencingToken: m.FencingToken(l.term), AgentEpoch: m.Epoch()},
 		newestSequence: m.Sequence(),
 	}
 	schedulable := m.IsSchedulable(now, &l.timing)
@@ -144,7 +144,7 @@
 		m.Cordon(machines.CordonAgentReplaced)
 		return
 	}
-	if h.FencingToken != l.term || m.IsStale(h) {
+	if !l.fencingTokens.contains(h.FencingToken) || m.IsStale(h) {
 		return
 	}
 	m.AdvanceSession(h.AgentEpoch, h.Sequence)
--- a/internal/leader/fleet_test.go
+++ b/internal/leader/fleet_test.go
@@ -234,6 +234,7 @@
 			f.t.Fatalf("transaction has %d bytes, want at most 64 KiB", batchBytes)
 		}
 		f.MarkBatchCommitted(b, nil)
+		f.MarkTokensReserved(f.LastTokenToReserve())
 	}
 }
 
--- a/internal/leader/heartbeat.go
+++ b/internal/leader/heartbeat.go
@@ -31,7 +31,7 @@
 // while the leader can't reach the key-value store. The response then contains no starts.
 func (l *Leader) HandleHeartbeat(now time.Time, h *wire.Heartbeat, holdsLeaderLease bool) (wire.HeartbeatResponse, HeartbeatOutcome) {
 	response := wire.HeartbeatResponse{FencingToken: l.term, Commands: []wire.Command{}}
-	if h.FencingToken > l.term {
+	if h.FencingToken > l.fencingTokens.reserved {
 		return response, HeartbeatFromLaterTerm
 	}
 	if l.machines.WasReleased(h.Machine) {
@@ -46,8 +46,7 @@
 		// first. The reply is newer, so the task list of this heartbeat is not applied. The agent
 		// gets a response nevertheless, because without one it would switch to another node.
 		m.RenewLease(now, h.Sequence)
-		response.Commands = l.stopCommands(h)
-		return response, HeartbeatApplied
+		return l.newHeartbeatResponse(m, l.stopCommands(h)), HeartbeatApplied
 	}
 	if m.IsStale(h) {
 		// A stale heartbeat does not show the current tasks, so it changes no attempt and renews
@@ -67,13 +66,17 @@
 		// The agent had not seen this term when it sent the heartbeat. It may still execute starts of
 		// an earlier term, whose tasks are not in its task list yet. Its task lists are complete only
 		// after it has seen this term.
-		response.Commands = l.stopCommands(h)
-		return response, HeartbeatApplied
+		return l.newHeartbeatResponse(m, l.stopCommands(h)), HeartbeatApplied
 	}
 	l.reconcileTasks(now, m, h, true) // a periodic heartbeat
 	l.checkpointBeforeReclaim(now, m)
-	response.Commands = l.heartbeatCommands(m, h, holdsLeaderLease)
-	return response, HeartbeatApplied
+	commands := l.heartbeatCommands(m, h, holdsLeaderLease) // may raise the machine's fencing token
+	return l.newHeartbeatResponse(m, commands), HeartbeatApplied
+}
+
+// newHeartbeatResponse returns a response with the machine's present fencing token.
+func (l *Leader) newHeartbeatResponse(m *machines.Machine, commands []wire.Command) wire.HeartbeatResponse {
+	return wire.HeartbeatResponse{FencingToken: m.FencingToken(l.term), Commands: commands}
 }
 
 // recordHeartbeat renews the machine's lease and applies the fields of a heartbeat that describe
--- a/internal/leader/heartbeat_commands.go
+++ b/internal/leader/heartbeat_commands.go
@@ -17,17 +17,29 @@
 			commands = append(commands, a.StopCommand())
 		}
 	}
-	for _, e := range m.Exited() {
-		if e.Forget && len(commands) < tuning.MaxCommandsPerMessage {
-			commands = append(commands, wire.Command{Op: wire.OpForget, Task: e.Task, Attempt: e.Attempt})
-		}
-	}
+	commands = l.appendForgets(commands, m)
 	if holdsLeaderLease && !m.IsBeingReleased() {
 		commands = appendStarts(commands, m, h.Sequence)
 	}
 	return commands
 }
 
+// appendForgets appends the commands to forget exited attempts, if the response has a higher fencing
+// token than all direct calls that may have started them. If it can't have one yet, the response to a
+// later heartbeat contains the commands.
+func (l *Leader) appendForgets(commands []wire.Command, m *machines.Machine) []wire.Command {
+	for _, e := range m.Exited() {
+		if !e.Forget || len(commands) >= tuning.MaxCommandsPerMessage {
+			continue
+		}
+		if !l.fenceDirectStarts(m) {
+			return commands
+		}
+		commands = append(commands, wire.Command{Op: wire.OpForget, Task: e.Task, Attempt: e.Attempt})
+	}
+	return commands
+}
+
 // appendStarts appends the starts of attempts that no task list has contained yet. It omits the
 // starts that are part of a direct call in flight. If an attempt is still in no task list after the
 // call, a later response contains its start. sequence is the sequence number of the heartbeat.
--- a/internal/leader/helpers_test.go
+++ b/internal/leader/helpers_test.go
@@ -90,6 +90,7 @@
 	for b := l.NextWriteBatch(10, 10); b != nil; b = l.NextWriteBatch(10, 10) {
 		l.apply(b.Mutations)
 		l.MarkBatchCommitted(b, nil)
+		l.MarkTokensReserved(l.LastTokenToReserve())
 	}
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -28,6 +28,7 @@
 	params           config.Params
 	operatorSettings config.OperatorSettings
 	term             uint64
+	fencingTokens    fencingTokens
 	attemptCount     uint64 // attempt numbers assigned so far
 	timing           machines.Timing
 
@@ -78,6 +79,7 @@
 		params:              params,
 		operatorSettings:    operator,
 		term:                term,
+		fencingTokens:       newFencingTokens(term),
 		jobs:                jobs.NewRegistry(),
 		admission:           newAdmissionControl(&params, &operator, term, now),
 		unqueuedCompletions: jobs.UnqueuedCompletions{},
--- a/internal/machines/attempt_commands.go
+++ b/internal/machines/attempt_commands.go
@@ -24,8 +24,11 @@
 func (d *startDelivery) MarkResponseStartIneffective() { d.startResponseSequence = 0 }
 
 // MarkDirectStartSent records that a direct call with the start is made. The start may arrive late
-// until RuleOutDirectStart is called.
-func (d *startDelivery) MarkDirectStartSent() { d.directStartMayArrive = true }
+// until RuleOutDirectStart is called. A copy of it may arrive even later, see startFence.
+func (a *Attempt) MarkDirectStartSent() {
+	a.directStartMayArrive = true
+	a.Machine.needsRaise = true
+}
 
 // RuleOutDirectStart records that a start sent by a direct call can no longer arrive late.
 func (d *startDelivery) RuleOutDirectStart() { d.directStartMayArrive = false }
--- a/internal/machines/delivery_test.go
+++ b/internal/machines/delivery_test.go
@@ -178,3 +178,28 @@
 		t.Error("machine is schedulable while it is being released, want not")
 	}
 }
+
+// TestFencingTokenIsRaisedAfterDirectStarts guards against a copied start: between a direct call with
+// starts and the next command to forget an attempt, the machine's token must be raised, once.
+func TestFencingTokenIsRaisedAfterDirectStarts(t *testing.T) {
+	const term, maxRaises = 5, 1
+	m := newReportingMachine(termStart)
+	if !m.FenceDirectStarts(maxRaises) || m.FencingToken(term) != term {
+		t.Errorf("token %d without a direct call, want that of the term", m.FencingToken(term))
+	}
+	a := newRecordedAttempt(m)
+	a.MarkDirectStartSent()
+	m.BeginCall()
+	if m.FenceDirectStarts(maxRaises) || m.FencingToken(term) != term {
+		t.Error("token raised while a call is in progress that the agent would refuse, want it raised later")
+	}
+	m.EndCall()
+	a.RuleOutDirectStart() // the call was answered, but a copy may still arrive
+	if !m.FenceDirectStarts(maxRaises) || !m.FenceDirectStarts(maxRaises) || m.FencingToken(term) != term+1 {
+		t.Errorf("token %d after an answered direct call, want %d", m.FencingToken(term), term+1)
+	}
+	a.MarkDirectStartSent()
+	if m.FenceDirectStarts(maxRaises) {
+		t.Error("token raised beyond the reserved ones, want not")
+	}
+}
--- a/internal/machines/machine.go
+++ b/internal/machines/machine.go
@@ -18,6 +18,7 @@
 	agentSession
 	responseDelivery
 	directCalls
+	startFence
 	failures
 	capacity
 	explicitCordons CordonReason // set with Cordon; other reasons are derived from the fields above
--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -14,29 +14,33 @@
 func (t *term) commitLoop(ctx context.Context) error {
 	writer := kvstore.NewFencedWriter(t.leadership.Term, t.leadership.LeaderVersion, t.leadership.TermVersion)
 	for {
-		batch := t.nextWriteBatch()
+		batch, lastToken := t.nextWriteBatch()
 		if batch == nil {
 			if err := t.waitForChanges(ctx); err != nil {
 				return err
 			}
 			continue
 		}
+		writer.ReserveTokens(lastToken)
 		refused, err := writer.Commit(ctx, t.node.store, batch.Mutations)
 		if err != nil {
 			return err
 		}
 		t.node.mu.Lock()
 		t.state.MarkBatchCommitted(batch, refused)
+		t.state.MarkTokensReserved(writer.ReservedToken())
 		t.node.mu.Unlock()
 		signal(t.node.tickSignal)
 	}
 }
 
-// nextWriteBatch returns the next batch of changes to commit, or nil if there are none.
-func (t *term) nextWriteBatch() *records.Batch {
+// nextWriteBatch returns the next batch of changes to commit, or nil if there are none, and the last
+// fencing token that the term should have reserved with it.
+func (t *term) nextWriteBatch() (batch *records.Batch, lastToken uint64) {
 	t.node.mu.Lock()
 	defer t.node.mu.Unlock()
-	return t.state.NextWriteBatch(t.node.store.MaxTxnChanges(), t.node.store.BackgroundWriteAllowance())
+	batch = t.state.NextWriteBatch(t.node.store.MaxTxnChanges(), t.node.store.BackgroundWriteAllowance())
+	return batch, t.state.LastTokenToReserve()
 }
 
 // waitForChanges waits until there are changes to commit, then for WriteBatchInterval, so that
--- a/internal/simulation/agent_calls.go
+++ b/internal/simulation/agent_calls.go
@@ -39,12 +39,7 @@
 		c.reportOutcome(tuning.DirectCallTimeout, leader.DirectCallNotDelivered, nil)
 		return
 	}
-	sim.after(c.agent.timeUntilReachable()+sim.between(0, 60_000), func() {
-		// The connection ends with its agent, so a new agent never receives the delayed commands.
-		if sim.fleet.agents[c.call.Machine] == c.agent {
-			c.deliver(c.agent)
-		}
-	})
+	sim.after(c.agent.timeUntilReachable()+sim.between(0, 60_000), func() { c.deliverCopy(c.agent) })
 	c.reportOutcome(tuning.DirectCallTimeout, leader.DirectCallUncertain, nil)
 }
 
@@ -57,9 +52,18 @@
 		return
 	}
 	heartbeat := c.deliver(a)
+	sim.copies.answered(directCallRequest, c.node, func() { c.deliverCopy(a) })
 	c.reportOutcome(sim.between(1, 100), leader.DirectCallReplied, heartbeat)
 }
 
+// deliverCopy delivers the call to an agent late or once more, without a reply. The connection ends with
+// its agent, so a new agent on the machine never receives the commands.
+func (c *agentCall) deliverCopy(a *agentProcess) {
+	if c.node.sim.fleet.agents[c.call.Machine] == a {
+		c.deliver(a)
+	}
+}
+
 // deliver makes an agent execute the commands and returns its next heartbeat.
 func (c *agentCall) deliver(a *agentProcess) *wire.Heartbeat {
 	a.HandleCommandRequest(a.sim.now, c.call.Request)
--- a/internal/simulation/fault_injection.go
+++ b/internal/simulation/fault_injection.go
@@ -198,6 +198,8 @@
 		sim.fleet.heartbeatsDuplicated = messageFault{0.5, until}
 	case HeartbeatsReplayedToNextLeader:
 		sim.fleet.heartbeatsReplayed = messageFault{0.5, until}
+	case DirectCallsDuplicated:
+		sim.copies.duplicated[directCallRequest] = messageFault{faultyCopiedShare, until}
 	case FollowUpQueries:
 		sim.EnableFollowUps(span)
 	case RunningJobsCancelled:
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -72,6 +72,9 @@
 	HeartbeatsDuplicated
 	// HeartbeatsReplayedToNextLeader: copies of heartbeats arrive when the next term starts.
 	HeartbeatsReplayedToNextLeader
+	// DirectCallsDuplicated: copies of direct calls that were answered arrive later, also after the
+	// process that sent them has ended.
+	DirectCallsDuplicated
 	// FollowUpQueries: users query all nodes after every response.
 	FollowUpQueries
 	// RunningJobsCancelled: users cancel several running jobs, some of whose machines hang.
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -79,6 +79,7 @@
 	n.incarnation++
 	n.frozenUntil = time.Time{}
 	n.clearLeadership()
+	n.sim.copies.processEnded(n)
 	n.sim.after(down, func() {
 		if n.sim.faultsAllowed() && n.sim.chance(n.sim.VersionFlipRate) {
 			n.previousVersion = !n.previousVersion
--- a/internal/simulation/node_writes.go
+++ b/internal/simulation/node_writes.go
@@ -39,6 +39,7 @@
 		if n.previousVersion {
 			writes = PreviousVersionWrites(writes)
 		}
+		n.writer.ReserveTokens(l.LastTokenToReserve())
 		n.writer.Begin(writes)
 	}
 	n.commit(n.writer.NextTxn(), func(result wire.TxnResult, err error) {
@@ -73,6 +74,7 @@
 	switch outcome {
 	case kvstore.Applied:
 		l.MarkBatchCommitted(n.batch, n.writer.RefusedKeys())
+		l.MarkTokensReserved(n.writer.ReservedToken())
 		n.batch = nil
 		n.commitLoop(l)
 	case kvstore.SendNextPart:
--- a/internal/simulation/observations.go
+++ b/internal/simulation/observations.go
@@ -33,6 +33,8 @@
 	DuplicateHeartbeatApplied Observation = "duplicate heartbeat applied"
 	// HeartbeatInGracePeriod: a leader whose lease had expired responded to a heartbeat.
 	HeartbeatInGracePeriod Observation = "heartbeat in the grace period"
+	// DirectCallRepeated: a copy of an answered direct call reached its agent.
+	DirectCallRepeated Observation = "direct call repeated"
 	// HeartbeatLost: an agent's heartbeat reached no controller.
 	HeartbeatLost Observation = "heartbeat lost"
 	// BusyMachinePartitioned: a machine with tasks was partitioned.
--- a/internal/simulation/random_faults_test.go
+++ b/internal/simulation/random_faults_test.go
@@ -48,6 +48,8 @@
 		"responses lost":    {simulation.MachineResponsesLost},
 		"replaced agents":   {simulation.AgentReplaced, simulation.MachinePartitioned},
 		"flapping nodes":    {simulation.NodeCrashLoop, simulation.AllNodesCrash},
+		// Guards against ran_twice: an agent executes a copy of a direct call whose tasks it has forgotten.
+		"copied direct calls": {simulation.DirectCallsDuplicated, simulation.NodeCrash},
 	} {
 		t.Run(name, func(t *testing.T) {
 			forEachSeed(t, 8, func(t *testing.T, seed uint64) { runRandomFaults(t, 500+seed, 2, kinds...) })
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -33,6 +33,7 @@
 
 	network   *network
 	storeLink storeLink
+	copies    *requestCopies
 	nodes     []*node
 	fleet     fleet
 	digest    traceDigest
@@ -57,6 +58,7 @@
 		digest:     newTraceDigest(),
 	}
 	sim.clients = newClients(sim)
+	sim.copies = &requestCopies{sim: sim, afterCrash: map[*node][]func(){}}
 	sim.faultInjector = &faultInjector{sim: sim}
 	sim.drainMonitor = &drainMonitor{sim: sim}
 	sim.Store.OnCommit = sim.recordTransaction
--- a/internal/tuning/leadership.go
+++ b/internal/tuning/leadership.go
@@ -37,6 +37,10 @@
 	// WatchTimeout bounds a follower's watch request on the leader key. If the response
 	// is lost, the follower notices a change of the key after at most this time.
 	WatchTimeout = 3 * time.Second
+	// FencingTokenBlock is the number of fencing tokens beyond those in use that a leader
+	// reserves at once. A machine uses at most one token for each response to it, so half a block
+	// lasts for a minute or longer.
+	FencingTokenBlock = 256
 	// GracePeriodReserve limits two times: how long a leader that can't reach the
 	// key-value store responds to agent heartbeats, and how long any leader responds to a
 	// machine that may still get a late start of an ended job. A lease renewed at the end
