Answer with the final state if a job ends before its answer is sent

Cause: the leader decides an answer under its lock and sends it later. The cancellation became durable in between and its answer, decided later, was sent and received first.

--- a/internal/leader/response.go
+++ b/internal/leader/response.go
@@ -27,15 +27,26 @@
 	return r.Status/100 == 2 && wire.IsTerminal(r.State)
 }
 
+// FinalResponse returns a response with the durable final state of a job. ended is false if the job has
+// none. A response that was decided before the job's end must not be sent after it, because another
+// request may have got a response with the final state in between.
+func (l *Leader) FinalResponse(id string) (r JobResponse, ended bool) {
+	f, ended := l.jobs.FinalState(id)
+	if !ended {
+		return JobResponse{}, false
+	}
+	state := wire.JobDone
+	if f.Outcome == records.OutcomeCancelled {
+		state = wire.JobCancelled
+	}
+	return JobResponse{Status: http.StatusOK, State: state, CompletedTasks: int(f.TasksDone)}, true
+}
+
 // jobResponse returns a response with the current state of a job. known is false if the job does
 // not exist.
 func (l *Leader) jobResponse(id string) (r JobResponse, known bool) {
-	if f, ok := l.jobs.FinalState(id); ok {
-		state := wire.JobDone
-		if f.Outcome == records.OutcomeCancelled {
-			state = wire.JobCancelled
-		}
-		return JobResponse{Status: http.StatusOK, State: state, CompletedTasks: int(f.TasksDone)}, true
+	if r, ended := l.FinalResponse(id); ended {
+		return r, true
 	}
 	j := l.jobs.Get(id)
 	if j == nil {
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -24,7 +24,27 @@
 		return peer.Response{}, false
 	}
 	signal(n.writeSignal)
-	return waitForResult(ctx, leadership, result), true
+	return n.updateIfEnded(c.JobID, waitForResult(ctx, leadership, result)), true
+}
+
+// updateIfEnded returns the final state of the job in a response instead of an earlier state, if the
+// job has ended since the response was decided. Otherwise a user could get the earlier state after
+// the response to another request has contained the final one.
+func (n *Node) updateIfEnded(jobID string, response peer.Response) peer.Response {
+	if response.Job == nil || response.IsTerminal() {
+		return response
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leader == nil {
+		return response
+	}
+	final, ended := n.leader.FinalResponse(jobID)
+	if !ended {
+		return response
+	}
+	final.Status = response.Status // 201 for a new job
+	return jobResponse(jobID, final)
 }
 
 // handleHeartbeat handles an agent's heartbeat if this node leads and holds its lease, or is in
--- a/internal/node/local_test.go
+++ b/internal/node/local_test.go
@@ -12,6 +12,7 @@
 	"switchshore.example/switchshore/internal/election"
 	"switchshore.example/switchshore/internal/leader"
 	"switchshore.example/switchshore/internal/peer"
+	"switchshore.example/switchshore/internal/records"
 	"switchshore.example/switchshore/internal/tuning"
 	"switchshore.example/switchshore/wire"
 )
@@ -86,6 +87,28 @@
 	}
 }
 
+// TestResponseDecidedBeforeTheEndIsUpdated guards against went_back: a response decided while its job was
+// queued is sent after another response has contained the job's final state.
+func TestResponseDecidedBeforeTheEndIsUpdated(t *testing.T) {
+	const ended, unknown = "job-000001", "job-000002"
+	queued := peer.Response{Status: http.StatusCreated, Job: &wire.JobStatus{ID: ended, State: wire.JobQueued}}
+	n := newTestNode()
+	if got := n.updateIfEnded(ended, queued); got.Job.State != wire.JobQueued {
+		t.Errorf("not the leader: got %+v, want the response unchanged", got.Job)
+	}
+	n.becomeLeader(time.Now())
+	record := wire.KeyValue{Key: records.FinalStateKey(ended), Value: []byte(`"c0"`)}
+	if err := n.leader.LoadRecord(time.Now(), time.Now(), record); err != nil {
+		t.Fatal(err)
+	}
+	if got := n.updateIfEnded(ended, queued); got.Job.State != wire.JobCancelled || got.Status != http.StatusCreated {
+		t.Errorf("got status %d, %+v, want the final state with the status of the response", got.Status, got.Job)
+	}
+	if got := n.updateIfEnded(unknown, queued); got.Job.State != wire.JobQueued {
+		t.Errorf("job without a final state: got %+v, want the response unchanged", got.Job)
+	}
+}
+
 // TestRevokeEarlierTerm checks that a later term of a peer revokes the leadership, and that an
 // earlier or the same term doesn't.
 func TestRevokeEarlierTerm(t *testing.T) {
--- a/internal/simulation/client_requests.go
+++ b/internal/simulation/client_requests.go
@@ -81,12 +81,23 @@
 			if !response.IsTerminal() && !term.HoldsLease(leading.clock()) {
 				response = unavailable
 			}
+			if final, ended := leading.finalResponse(p.job.ID); ended && succeeded(response.Status) {
+				response = final // the job has ended since the decision
+			}
 			sentAt := sim.now
 			sim.after(sim.between(1, 20), func() { p.receive(leading, sentAt, response) })
 		})
 	})
 }
 
+// finalResponse returns a response with the final state of a job, if the node leads and knows it.
+func (n *node) finalResponse(id string) (response leader.JobResponse, ended bool) {
+	if n.leader == nil {
+		return leader.JobResponse{}, false
+	}
+	return n.leader.FinalResponse(id)
+}
+
 // receive handles the arrival of the leader's response at the user.
 func (p *pendingRequest) receive(from *node, sentAt time.Time, response leader.JobResponse) {
 	if p.finished {
