Ignore copies of operators' requests that were executed

What operators would see: a paused drain goes on, or a resumed one is paused again, although nobody has asked for it: a late copy of resume or pause arrives after a later request. The requests were idempotent only as long as no other request came in between. Change: the operators' command gives pause, resume and cancel an ID of their own, and the drain's record remembers the last eight. A request whose ID is known is answered with the present state and changes nothing, also by a successor. An older version ignores the ID and drops the list from records that it rewrites; an older command sends none and is executed as before. Apply needs no ID: a drain of the same name and content is not started again while its record is kept. Evidence: TestCopyOfDrainRequestChangesNothing fails in four of its steps when the IDs are not looked up, and passes now. The record grows by at most 152 bytes, counted in maxRecordSize.

--- a/cmd/switchshore/main_test.go
+++ b/cmd/switchshore/main_test.go
@@ -198,7 +198,10 @@
 			if (got.Spec != nil) != (c.request.Action == drain.Apply) {
 				t.Errorf("got specification %+v, want one only for apply", got.Spec)
 			}
-			got.Spec = nil
+			if (got.ID != "") != c.request.Action.ChangesDrain() {
+				t.Errorf("got the ID %q, want one only if the command changes the drain", got.ID)
+			}
+			got.Spec, got.ID = nil, ""
 			if got != c.request {
 				t.Errorf("got %+v, want %+v", got, c.request)
 			}
--- a/internal/drain/lifecycle.go
+++ b/internal/drain/lifecycle.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"switchshore.example/switchshore/internal/tuning"
 )
 
 // pastDeadline reports whether the drain has a deadline that has passed.
@@ -54,6 +56,21 @@
 	r.State, r.Reason, r.Batch = Cancelled, Reason{}, nil
 }
 
+// HasExecuted reports whether the request with the ID has changed the drain. Only the last
+// tuning.MaxExecutedDrainRequests requests are known.
+func (r *Record) HasExecuted(requestID string) bool {
+	return requestID != "" && slices.Contains(r.ExecutedRequests, requestID)
+}
+
+// MarkExecuted records that the request with the ID has changed the drain. It ignores an empty ID.
+func (r *Record) MarkExecuted(requestID string) {
+	if requestID == "" {
+		return
+	}
+	kept := append(slices.Clone(r.ExecutedRequests), requestID)
+	r.ExecutedRequests = kept[max(0, len(kept)-tuning.MaxExecutedDrainRequests):]
+}
+
 // Compare orders drains by creation time, then by name.
 func (r *Record) Compare(other *Record) int {
 	if r.CreatedMS != other.CreatedMS {
--- a/internal/drain/record.go
+++ b/internal/drain/record.go
@@ -55,6 +55,8 @@
 	Reason    Reason `json:"reason"`
 	Batch     *Batch `json:"batch,omitempty"` // the current batch, nil if there is none
 	Counts    Counts `json:"counts"`
+	// ExecutedRequests are the IDs of the last requests that have changed the drain, the newest last.
+	ExecutedRequests []string `json:"executed,omitempty"`
 }
 
 // NewRecord returns the record of a drain that was just accepted; now is the wall-clock time.
--- a/internal/drain/request.go
+++ b/internal/drain/request.go
@@ -13,8 +13,14 @@
 	Cancel Action = "cancel"
 )
 
+// ChangesDrain reports whether the action changes the state of an existing drain.
+func (a Action) ChangesDrain() bool { return a == Pause || a == Resume || a == Cancel }
+
 // Request is an operator's request to the leader. Requests are idempotent.
 type Request struct {
+	// ID identifies a request that changes a drain. A copy of an executed request changes nothing, also
+	// after later requests. Requests of earlier versions have no ID, and their copies are executed.
+	ID     string `json:"id,omitempty"`
 	Action Action `json:"action"`
 	Name   string `json:"name,omitempty"` // of the drain; empty for Apply and List
 	Spec   *Spec  `json:"spec,omitempty"` // for Apply
--- a/internal/drainer/requests.go
+++ b/internal/drainer/requests.go
@@ -81,7 +81,7 @@
 // maxRecordSize estimates the maximum size, in bytes, that the record of a drain can reach. The record
 // is largest while it names the machines of a full batch and a replacement for each of them.
 func maxRecordSize(s *drain.Spec) int {
-	const fixedBytes = 512 // counts, reason and state
+	const fixedBytes = 512 + tuning.MaxExecutedDrainRequests*(tuning.MaxDrainRequestIDBytes+len(`"",`)) // counts, reason, state and requests
 	return len(drain.NewRecord(*s, time.Time{}).Encode()) + fixedBytes + 2*s.BatchSize*tuning.DrainMachineNameBytes
 }
 
@@ -113,10 +113,19 @@
 		respond(drain.Response{HTTPStatus: http.StatusOK, Drains: []drain.Status{d.status(now, wall, r)}})
 	}
 	before := r.State
-	switch request.Action {
-	case drain.Show:
+	switch {
+	case request.Action == drain.Show:
 		respondStatus()
 		return
+	case len(request.ID) > tuning.MaxDrainRequestIDBytes:
+		respond(drain.Response{HTTPStatus: http.StatusBadRequest, Reason: "the request's ID is too long"})
+		return
+	case r.HasExecuted(request.ID):
+		// A copy of a request that was executed, perhaps before another request.
+		d.storeDrain(r, respondStatus)
+		return
+	}
+	switch request.Action {
 	case drain.Pause:
 		r.Pause(drain.Reason{Cause: drain.PausedByOperator})
 	case drain.Resume:
@@ -131,6 +140,7 @@
 		respond(drain.Response{HTTPStatus: http.StatusConflict, Reason: fmt.Sprintf("%s is %s", request.Name, before)})
 		return
 	}
+	r.MarkExecuted(request.ID)
 	d.log.Info().Str("drain", request.Name).Str("action", string(request.Action)).Str("state", string(r.State)).Msg("drain changed")
 	d.storeDrain(r, respondStatus)
 }
--- a/internal/leader/drain_test.go
+++ b/internal/leader/drain_test.go
@@ -194,6 +194,42 @@
 	}
 }
 
+// TestCopyOfDrainRequestChangesNothing guards against a drain that goes on although an operator has paused it:
+// a copy of an executed request arrives after a later one, at the same leader or at its successor.
+func TestCopyOfDrainRequestChangesNothing(t *testing.T) {
+	l := newLeaderWithSettings(t, drainSettings(ampleBudget), 5, startTime, map[string]json.RawMessage{})
+	l.applyMachineList("m1")
+	l.sendDrainRequest(newApplyRequest("maintenance", "m1"))
+	change := func(id string, action drain.Action) drain.Request {
+		return drain.Request{ID: id, Action: action, Name: "maintenance"}
+	}
+	pause, resume, pauseAgain := change("a", drain.Pause), change("b", drain.Resume), change("c", drain.Pause)
+	checkState := func(l *testLeader, request drain.Request, want drain.State) {
+		t.Helper()
+		if r := l.sendDrainRequest(request); r.HTTPStatus != http.StatusOK || r.Drains[0].State != want {
+			t.Errorf("request %+v: got %+v, want status 200 and state %s", request, r, want)
+		}
+	}
+	checkState(l, pause, drain.Paused)
+	checkState(l, resume, drain.Pending)
+	checkState(l, pause, drain.Pending)
+	checkState(l, pauseAgain, drain.Paused)
+	checkState(l, resume, drain.Paused)
+	successor := newLeaderWithSettings(t, drainSettings(ampleBudget), 6, l.now, l.store)
+	successor.applyMachineList("m1")
+	checkState(successor, resume, drain.Paused)
+	checkState(successor, change("", drain.Resume), drain.Pending) // a request of an earlier version
+	for i := range tuning.MaxExecutedDrainRequests {
+		successor.sendDrainRequest(change(fmt.Sprint("d", i), drain.Pause))
+	}
+	if r := successor.sendDrainRequest(change(strings.Repeat("x", tuning.MaxDrainRequestIDBytes+1), drain.Resume)); r.HTTPStatus != http.StatusBadRequest {
+		t.Errorf("ID that is too long: got %+v, want status 400", r)
+	}
+	if size := len(successor.store["e/maintenance"]); size > 1024 {
+		t.Errorf("record of %d bytes after many requests, want at most 1,024", size)
+	}
+}
+
 // TestDrainStepExaminesItsBatchOnly checks that each step of a drain examines only the machines of the
 // current batch and the attempts on them. The drain has 4,000 machines, in batches of 5.
 func TestDrainStepExaminesItsBatchOnly(t *testing.T) {
--- a/internal/operatorcli/client.go
+++ b/internal/operatorcli/client.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strings"
@@ -51,7 +52,16 @@
 // Do requests an action on the drain with the given name, or on all drains if the name is empty, and
 // prints the response.
 func (c *Client) Do(ctx context.Context, action drain.Action, name string) error {
-	return c.send(ctx, drain.Request{Action: action, Name: name})
+	request := drain.Request{Action: action, Name: name}
+	if action.ChangesDrain() {
+		request.ID = newRequestID()
+	}
+	return c.send(ctx, request)
+}
+
+// newRequestID returns an ID that no other request has: a random number of 64 bits in hexadecimal.
+func newRequestID() string {
+	return fmt.Sprintf("%0*x", tuning.MaxDrainRequestIDBytes, rand.Uint64())
 }
 
 // send sends a request and prints the response.
--- a/internal/operatorcli/client_test.go
+++ b/internal/operatorcli/client_test.go
@@ -15,6 +15,7 @@
 	"switchshore.example/switchshore/internal/operatorcli"
 	"switchshore.example/switchshore/internal/peer"
 	"switchshore.example/switchshore/internal/peer/peertest"
+	"switchshore.example/switchshore/internal/tuning"
 )
 
 // drainStatuses returns the status of a running drain, whose batch is cordoned, and of a pending drain.
@@ -86,8 +87,10 @@
 	}
 }
 
-// TestRequests checks that each action sends one call, with the action and the name of the drain.
+// TestRequests checks that each action sends one call, with the action and the name of the drain, and with
+// an ID of its own if it changes the drain.
 func TestRequests(t *testing.T) {
+	ids := map[string]bool{}
 	for _, c := range []struct {
 		action drain.Action
 		name   string
@@ -104,8 +107,14 @@
 			if len(calls) != 1 || calls[0].Op != peer.OpDrain || calls[0].Drain == nil {
 				t.Fatalf("got the calls %+v, want one drain call", calls)
 			}
-			if got := *calls[0].Drain; got != (drain.Request{Action: c.action, Name: c.name}) {
-				t.Errorf("got %+v, want only the action and the name", got)
+			got := *calls[0].Drain
+			if changes := c.action.ChangesDrain(); ids[got.ID] && changes || (len(got.ID) == tuning.MaxDrainRequestIDBytes) != changes {
+				t.Errorf("got the ID %q, want a new one if the action changes the drain, and otherwise none", got.ID)
+			}
+			ids[got.ID] = true
+			got.ID = ""
+			if got != (drain.Request{Action: c.action, Name: c.name}) {
+				t.Errorf("got %+v, want only the action, the name and an ID", got)
 			}
 		})
 	}
--- a/internal/tuning/drains.go
+++ b/internal/tuning/drains.go
@@ -20,6 +20,11 @@
 	// ReplacementTimeout is how long a batch waits for its replacement machines before
 	// the drain is paused: enough for several boots, including slow ones.
 	ReplacementTimeout = 10 * time.Minute
+	// MaxExecutedDrainRequests is the number of operators' requests that a drain's record
+	// remembers, so that late copies of them change nothing. MaxDrainRequestIDBytes bounds the
+	// ID of one.
+	MaxExecutedDrainRequests = 8
+	MaxDrainRequestIDBytes   = 16
 	// MaxDrainRecords bounds the number of drains in the key-value store, including ended
 	// ones. At the limit, a new drain replaces the oldest ended one.
 	MaxDrainRecords = 100
