Send no cloud call while the node does not hold the leader lease

Cause: only the end of the term stopped the retries; the lease was checked before the first try. Change: the lease is checked before every try. Evidence: TestCloudIsNotCalledWithoutLease: 1 call without the lease before, 0 now.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -16,15 +16,19 @@
 )
 
 // callCloud makes a call that provisions or releases machines, retries it until it has a result,
-// and passes the result to the leader's state. It abandons the call when the term ends.
+// and passes the result to the leader's state. It abandons the call when the term ends. It sends
+// nothing while this node doesn't hold the lease, because the machines may be in use by a later
+// leader.
 func (t *term) callCloud(ctx context.Context, call scaling.CloudCall) {
 	for ctx.Err() == nil {
-		machines, err := t.sendToCloud(ctx, call)
-		if err == nil {
-			t.recordCloudResult(call, machines)
-			return
+		if t.leadership.HoldsLease(time.Now()) {
+			machines, err := t.sendToCloud(ctx, call)
+			if err == nil {
+				t.recordCloudResult(call, machines)
+				return
+			}
+			t.node.log.Debug().Err(err).Msg("cloud call to provision or release machines failed, retrying")
 		}
-		t.node.log.Debug().Err(err).Msg("cloud call to provision or release machines failed, retrying")
 		if ctxtime.Sleep(ctx, tuning.CloudRetryDelay) != nil {
 			return
 		}
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -1,15 +1,57 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"switchshore.example/switchshore/internal/cloud"
+	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/httpclient"
+	"switchshore.example/switchshore/internal/httpclient/loopback"
 	"switchshore.example/switchshore/internal/leader"
+	"switchshore.example/switchshore/internal/scaling"
 )
 
+// TestCloudIsNotCalledWithoutLease guards against a release of machines that a later leader uses: a release
+// call is not sent, or repeated, while this node doesn't hold the lease.
+func TestCloudIsNotCalledWithoutLease(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		renewed time.Time
+		calls   int32
+	}{
+		"holds the lease": {renewed: now.Add(time.Hour), calls: 1},
+		"lease expired":   {renewed: now.Add(-time.Minute), calls: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int32
+			addr := loopback.Serve(t, func(*fasthttp.RequestCtx) { calls.Add(1) })
+			n := newTestNode()
+			n.becomeLeader(c.renewed)
+			n.cloud, n.log = cloud.NewClient(addr, config.CloudLimits{RPS: 100}), zerolog.Nop()
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			if c.calls == 0 {
+				// The call must wait for the lease, so it ends with its context.
+				time.AfterFunc(100*time.Millisecond, cancel)
+			}
+			call := &term{node: n, state: n.leader, leadership: n.leadership}
+			call.callCloud(ctx, scaling.CloudCall{Op: scaling.CloudRelease, Release: []string{"m1"}})
+			if got := calls.Load(); got != c.calls {
+				t.Errorf("%d calls to the cloud, want %d", got, c.calls)
+			}
+		})
+	}
+}
+
 // TestDirectOutcome checks that commands count as not delivered only if the call was not sent.
 func TestDirectOutcome(t *testing.T) {
 	for _, c := range []struct {
