Refuse copies of answered transactions by a fence when a key changes again

Change: the writer remembers the keys that it has changed since its last fence. A transaction that changes one of them again also writes the term key, so the store refuses all earlier copies. A copy that is still applied finds the values that it writes. Cost: at most every second transaction has one change more (TestFewTransactionsWriteAFence), and at most 4,096 keys are remembered.

--- a/internal/kvstore/fenced_writer.go
+++ b/internal/kvstore/fenced_writer.go
@@ -33,7 +33,9 @@
 // conditions. The condition on the leader key makes the transaction fail after the leader has
 // changed. The condition on the term key prevents a delayed copy of a transaction from overwriting
 // newer values: when a transaction gets no response, the writer retries it, and the first copy may
-// reach the store after the retry.
+// reach the store after the retry. A copy may also arrive after the transaction got a response. So a
+// transaction that changes a key once more changes the term key, too, which makes the store refuse
+// all copies of earlier transactions. A copy that is still applied changes no value.
 //
 // The store may refuse a transaction as invalid when its limits have become stricter than the
 // settings. The writer then splits the transaction until the refused change is alone, and
@@ -49,14 +51,17 @@
 	termCondition   wire.Compare
 	fence           TermRecord // what the next fence stores
 	reservedToken   uint64     // last fencing token that is durably reserved for the term
+	// unfencedKeys are the keys changed since the last fence. Copies of the transactions that changed
+	// them may still be applied.
+	unfencedKeys map[string]struct{}
 
 	currentPart    []wire.Mutation   // changes of the next transaction, without the fence
 	remainingParts [][]wire.Mutation // later parts of a split transaction, in the order of sending
 	refusedKeys    []string          // keys of the changes that the store refused
-	// writesFence is set when a transaction for currentPart got no response, or when it has to
-	// reserve fencing tokens. It then also writes the fence to the term key. When one copy
-	// has been applied, the term key has a new version, so the condition on the term key fails for
-	// all other copies.
+	// writesFence is set when a transaction for currentPart got no response, when it has to
+	// reserve fencing tokens, or when it changes one of the unfencedKeys. It then also writes the
+	// fence to the term key. When one copy has been applied, the term key has a new version, so
+	// the condition on the term key fails for all other copies.
 	writesFence bool
 }
 
@@ -65,6 +70,7 @@
 func NewFencedWriter(term, leaderVersion, termVersion uint64) *FencedWriter {
 	return &FencedWriter{
 		fence:           TermRecord{Term: term},
+		unfencedKeys:    map[string]struct{}{},
 		reservedToken:   term,
 		leaderCondition: wire.Compare{Key: KeyLeader, Version: leaderVersion},
 		termCondition:   wire.Compare{Key: KeyTerm, Version: termVersion},
@@ -73,12 +79,24 @@
 
 // Begin starts a group of changes. The outcome of the previous group must have been Applied.
 func (w *FencedWriter) Begin(writes []wire.Mutation) {
-	w.currentPart, w.remainingParts, w.refusedKeys, w.writesFence = writes, nil, nil, false
-	if w.fence.Term > w.reservedToken {
+	w.remainingParts, w.refusedKeys = nil, nil
+	w.beginPart(writes)
+}
+
+// beginPart makes writes the current part, with a fence if it needs one.
+func (w *FencedWriter) beginPart(writes []wire.Mutation) {
+	w.currentPart, w.writesFence = writes, false
+	if w.fence.Term > w.reservedToken || len(w.unfencedKeys) > tuning.MaxUnfencedKeys || slices.ContainsFunc(writes, w.isUnfenced) {
 		w.addFence()
 	}
 }
 
+// isUnfenced reports whether a change is for one of the unfencedKeys.
+func (w *FencedWriter) isUnfenced(change wire.Mutation) bool {
+	_, unfenced := w.unfencedKeys[change.Key()]
+	return unfenced
+}
+
 // ReserveTokens makes the transactions of the next group also reserve the fencing tokens up to last for
 // this term. It does nothing if they are reserved already. They may be used once ReservedToken
 // returns at least last.
@@ -112,6 +130,8 @@
 	case err == nil:
 		if w.writesFence {
 			w.markFenceApplied(result.Revision)
+		} else {
+			w.addUnfencedKeys()
 		}
 		return w.startNextPart()
 	case errors.Is(err, ErrConflict):
@@ -132,6 +152,14 @@
 func (w *FencedWriter) markFenceApplied(version uint64) {
 	w.termCondition.Version = version
 	w.reservedToken = w.fence.Term
+	clear(w.unfencedKeys)
+}
+
+// addUnfencedKeys records that the current part was applied without a fence.
+func (w *FencedWriter) addUnfencedKeys() {
+	for _, change := range w.currentPart {
+		w.unfencedKeys[change.Key()] = struct{}{}
+	}
 }
 
 // ResolveUnknown processes the result of reading KeyTerm. The last transaction has been applied
@@ -157,7 +185,9 @@
 	if len(w.remainingParts) == 0 {
 		return Applied
 	}
-	w.currentPart, w.remainingParts, w.writesFence = w.remainingParts[0], w.remainingParts[1:], false
+	next := w.remainingParts[0]
+	w.remainingParts = w.remainingParts[1:]
+	w.beginPart(next)
 	return SendNextPart
 }
 
--- a/internal/kvstore/fenced_writer_test.go
+++ b/internal/kvstore/fenced_writer_test.go
@@ -151,6 +151,7 @@
 	rng        *rand.Rand
 	accepted   []string   // keys of all changes that the store must accept
 	lateCopies []wire.Txn // transactions of this round that are on the way to the store; sent by checkLateCopies
+	answered   []wire.Txn // transactions of all rounds that got a response
 }
 
 // commitRound writes a few changes. In about half of the rounds, one more change is oversized.
@@ -196,6 +197,7 @@
 		_, _ = f.store.Commit(txn) // the response to it is lost
 		return f.writer.HandleResult(wire.TxnResult{}, httpclient.ErrNoResponse)
 	}
+	f.answered = append(f.answered, txn)
 	return f.writer.HandleResult(f.store.Commit(txn))
 }
 
@@ -212,6 +214,76 @@
 	}
 }
 
+// TestCopyOfAnsweredTransactionChangesNothing guards against stored values that are set back: copies of
+// transactions that got a response arrive after newer ones, which have changed or deleted the same keys.
+func TestCopyOfAnsweredTransactionChangesNothing(t *testing.T) {
+	for seed := range uint64(100) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			s, w := newStoreAndWriter(t)
+			f := &faultyCommits{t: t, store: s, writer: w, rng: rand.New(rand.NewPCG(seed, 2))}
+			for round := range 30 {
+				f.commitOverwrites(round)
+				before := f.storedValues()
+				for _, i := range f.rng.Perm(len(f.answered)) {
+					_, _ = s.Commit(f.answered[i]) // the store may refuse it
+				}
+				if after := f.storedValues(); !reflect.DeepEqual(before, after) {
+					t.Fatalf("round %d: copies of answered transactions have changed the values from %v to %v", round, before, after)
+				}
+			}
+		})
+	}
+}
+
+// commitOverwrites changes and deletes a few of eight keys.
+func (f *faultyCommits) commitOverwrites(round int) {
+	f.t.Helper()
+	var writes []wire.Mutation
+	for _, key := range f.rng.Perm(8)[:1+f.rng.IntN(3)] {
+		if f.rng.IntN(3) == 0 {
+			writes = append(writes, wire.Mutation{Delete: fmt.Sprint("k", key)})
+		} else {
+			writes = append(writes, put(fmt.Sprint("k", key), fmt.Sprint(round)))
+		}
+	}
+	f.writer.Begin(writes)
+	outcome := kvstore.Retry
+	for outcome != kvstore.Applied {
+		if outcome == kvstore.Deposed {
+			f.t.Fatalf("round %d: deposed, want all changes to be applied", round)
+		}
+		outcome = f.nextOutcome(outcome)
+	}
+}
+
+// storedValues returns the values of the store by key, without the versions.
+func (f *faultyCommits) storedValues() map[string]string {
+	f.t.Helper()
+	values := map[string]string{}
+	for _, item := range f.storedItems() {
+		values[item.Key] = string(item.Value)
+	}
+	return values
+}
+
+// TestFewTransactionsWriteAFence: a fence is a change more, so only a transaction that changes a key
+// again since the last fence has one: at most every second one.
+func TestFewTransactionsWriteAFence(t *testing.T) {
+	s, w := newStoreAndWriter(t)
+	fences := 0
+	for round := range 20 {
+		w.Begin([]wire.Mutation{put("same", fmt.Sprint(round)), put(fmt.Sprint("new", round), "v")})
+		txn := w.NextTxn()
+		fences += len(txn.Then) - 2
+		if o := w.HandleResult(s.Commit(txn)); o != kvstore.Applied {
+			t.Fatal("want Applied, got", o)
+		}
+	}
+	if fences != 10 {
+		t.Errorf("%d of 20 transactions wrote a fence, want 10", fences)
+	}
+}
+
 // storedItems returns all keys of the store with their values.
 func (f *faultyCommits) storedItems() []wire.KeyValue {
 	f.t.Helper()
--- a/internal/tuning/kvstore.go
+++ b/internal/tuning/kvstore.go
@@ -52,6 +52,8 @@
 	// takes twelve bytes ("10000-10001,").
 	CompletionChunkTasks   = 1024
 	CompletionBytesPerTask = 4
+	// MaxUnfencedKeys bounds the keys that the leader remembers between two fences.
+	MaxUnfencedKeys = 4096
 	// DependentWritesDivisor: one in this many operations of a transaction is reserved
 	// for the final states of jobs that were cancelled because a dependency was. Thousands
 	// of these writes must neither starve nor delay the writes that users wait for.
