Stop an attempt that no start record names if another machine may have its task

With the fences no agent gets there, but an older version that leads during an upgrade leaves its direct starts unfenced. Change: the attempt that no record names is stopped if another machine may have the task; the recorded one goes on. TestUnrecordedAttemptIsStopped fails without it.

--- a/internal/leader/fleet_test.go
+++ b/internal/leader/fleet_test.go
@@ -29,6 +29,8 @@
 	cloudCalls                                       int                  // number of calls to the cloud
 	submittedAt                                      map[string]time.Time // by job
 	startedJobs                                      map[string]bool      // jobs of which a task has started
+	refusedCalls                                     int                  // direct calls with an outdated fencing token
+	maxExitedListed                                  int                  // most exited attempts in any one heartbeat
 	startDelays                                      []time.Duration      // time from the submission of each started task's job to the task's start
 }
 
@@ -43,6 +45,7 @@
 	tasksChanged  bool // since the last heartbeat
 	failed        bool // sends no heartbeats; the cloud still lists the machine until it is released
 	released      bool
+	fencingToken  uint64 // highest one seen
 	// lastStartTerm is the term of the last start received.
 	lastStartTerm uint64
 }
@@ -87,8 +90,16 @@
 // newHeartbeat returns the next heartbeat of an agent.
 func (f *fleet) newHeartbeat(a *fleetAgent) *wire.Heartbeat {
 	a.seq++
+	a.fencingToken = max(a.fencingToken, f.Term())
+	exited := 0
+	for _, task := range a.tasks {
+		if task.State == wire.TaskExited {
+			exited++
+		}
+	}
+	f.maxExitedListed = max(f.maxExitedListed, exited)
 	return &wire.Heartbeat{
-		Machine: a.name, Addr: a.name + ":9", Type: "std-8", Zone: "a", AgentEpoch: 1, Sequence: a.seq, FencingToken: f.Term(),
+		Machine: a.name, Addr: a.name + ":9", Type: "std-8", Zone: "a", AgentEpoch: 1, Sequence: a.seq, FencingToken: a.fencingToken,
 		Tasks: append([]wire.TaskStatus{}, a.tasks...),
 	}
 }
@@ -170,6 +181,10 @@
 	if outcome != leader.HeartbeatApplied {
 		f.t.Fatalf("heartbeat of %s: got outcome %d, want HeartbeatApplied", a.name, outcome)
 	}
+	if response.FencingToken < a.fencingToken {
+		f.t.Fatalf("response to %s: got fencing token %d, lower than %d before", a.name, response.FencingToken, a.fencingToken)
+	}
+	a.fencingToken = response.FencingToken
 	f.execute(a, response.Commands)
 }
 
@@ -198,7 +213,12 @@
 			f.FinishDirectCall(f.now, call, leader.DirectCallUncertain, nil)
 			continue
 		}
-		f.execute(a, call.Request.Commands)
+		if call.Request.FencingToken < a.fencingToken {
+			f.refusedCalls++
+		} else {
+			a.fencingToken = call.Request.FencingToken
+			f.execute(a, call.Request.Commands)
+		}
 		f.FinishDirectCall(f.now, call, leader.DirectCallReplied, f.newHeartbeat(a))
 	}
 }
--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -85,15 +85,7 @@
 func (l *Leader) applyLiveTask(now time.Time, m *machines.Machine, j *jobs.Job, index int32, t *wire.TaskStatus) {
 	a := m.Find(j, index)
 	if a == nil {
-		l.logUnrecordedTask(m, j, index, t)
-		a = machines.NewPossiblyStartedAttempt(m, j, index, now)
-		l.ledger.Allocate(a)
-		// A successor must find the attempt in a start record. No record contains it now, so it is
-		// added to one.
-		l.startLog.Add(a)
-		if j.IsActive() {
-			j.RemoveReadyTask(index)
-		}
+		a = l.addUnrecordedAttempt(now, m, j, index, t)
 	}
 	a.MarkInTaskList(l.taskListNumber, t.Attempt)
 	if !j.NeedsTask(int(index)) {
@@ -107,12 +99,25 @@
 	}
 }
 
-// logUnrecordedTask logs that a machine reports a task that no start record names for it. Starts are
-// recorded before they are sent, so the agent has executed a command a second time, or a record was
-// lost. Under other_machines is the number of other machines that may have the task.
-func (l *Leader) logUnrecordedTask(m *machines.Machine, j *jobs.Job, index int32, t *wire.TaskStatus) {
+// addUnrecordedAttempt adds an attempt that a machine reports although no start record names it. Starts
+// are recorded before they are sent, so the agent has executed a command a second time, or a record was
+// lost. If another machine may have the task, the attempt is stopped.
+func (l *Leader) addUnrecordedAttempt(now time.Time, m *machines.Machine, j *jobs.Job, index int32, t *wire.TaskStatus) *machines.Attempt {
+	otherMachines := j.AllocationsOf(index)
 	l.log.Warn().Str("machine", m.ID).Str("task", t.Task).Uint64("attempt", t.Attempt).Uint64("term", l.term).
-		Int("other_machines", j.AllocationsOf(index)).Msg("machine reports a task without a start record")
+		Int("other_machines", otherMachines).Msg("machine reports a task without a start record")
+	a := machines.NewPossiblyStartedAttempt(m, j, index, now)
+	l.ledger.Allocate(a)
+	// A successor must find the attempt in a start record. No record contains it now, so it is added
+	// to one.
+	l.startLog.Add(a)
+	if j.IsActive() {
+		j.RemoveReadyTask(index)
+	}
+	if otherMachines > 0 {
+		a.RequestStop()
+	}
+	return a
 }
 
 // recordRunning records that an attempt has begun to run.
--- a/internal/leader/repeated_starts_test.go
+++ b/internal/leader/repeated_starts_test.go
@@ -105,6 +105,27 @@
 	}
 }
 
+// TestUnrecordedAttemptIsStopped guards against a task that goes on running on two machines: an agent that a
+// leader without fences has left unprotected reports a copy of a task that another machine may have.
+func TestUnrecordedAttemptIsStopped(t *testing.T) {
+	l, task := leaderWithRunningTask(t)
+	unrecorded := task
+	unrecorded.Attempt = 7
+	if cs := l.sendHeartbeat("m2", 1, unrecorded); formatCommands(cs) != "kill job-1/0" || cs[0].Attempt != unrecorded.Attempt {
+		t.Errorf("got %q, want a stop of the unrecorded attempt of job-1/0", formatCommands(cs))
+	}
+	if cs := l.sendHeartbeat("m1", 1, task); len(cs) != 0 {
+		t.Errorf("the recorded attempt got %s, want no command", formatCommands(cs))
+	}
+	unrecorded.State, unrecorded.ExitReason = wire.TaskExited, wire.ExitStopped
+	l.sendHeartbeat("m2", 1, unrecorded)
+	l.tickAfter(time.Second)
+	l.commit()
+	if v := l.Query("job-1"); v.RunningTasks != 1 {
+		t.Errorf("%d tasks running after the stop, want 1", v.RunningTasks)
+	}
+}
+
 // TestForgetWaitsForFencingToken: an agent is told to forget an attempt only with a token that is reserved,
 // and not while a direct call with the present token is in progress, which the agent would refuse.
 func TestForgetWaitsForFencingToken(t *testing.T) {
--- a/internal/leader/scale_test.go
+++ b/internal/leader/scale_test.go
@@ -121,7 +121,7 @@
 			}
 		case 1050: // the leader fails, and a successor loads its records
 			running := f.runningTasks()
-			f.testLeader = newLeader(t, 6, f.now, f.store)
+			f.testLeader = newLeader(t, f.LastTokenToReserve()+1, f.now, f.store)
 			if n := f.Summary(); n.AllocatedTasks < running {
 				t.Errorf("a successor knows %d tasks, want all of the %d running ones", n.AllocatedTasks, running)
 			}
@@ -130,7 +130,7 @@
 		}
 		f.step()
 	}
-	f.checkAllMachinesGetStarts(6)
+	f.checkAllMachinesGetStarts(f.Term())
 	f.checkAllocationsPerRequest()
 	f.checkWorkAndUsage(machines)
 }
