Simulate copies of transactions, cloud calls and calls between controllers

Change: each request that was answered may arrive once more, within 90 s and within 0.3 s of the end of the process that sent it: direct calls, transactions and renewals of leases, calls to the cloud, requests of users and operators. A new invariant, set_back, says that stored completions are not taken back.

--- a/internal/simulation/client_requests.go
+++ b/internal/simulation/client_requests.go
@@ -73,6 +73,7 @@
 		return
 	}
 	term := leading.leadership
+	sim.copies.answered(peerRequest, p.target, func() { p.executeCopy(leading) })
 	p.execute(leading, check.claim, func(response leader.JobResponse) {
 		check.recordResponse(response)
 		leading.after(sim.between(0, 2), func() {
@@ -90,6 +91,14 @@
 	})
 }
 
+// executeCopy executes a copy of the request, which arrives at a node that has led, if a leader can be
+// reached from there. Nobody waits for its response.
+func (p *pendingRequest) executeCopy(at *node) {
+	if leading := p.sim.leaderFor(at); leading != nil {
+		p.execute(leading, nil, ignoreResponse)
+	}
+}
+
 // finalResponse returns a response with the final state of a job, if the node leads and knows it.
 func (n *node) finalResponse(id string) (response leader.JobResponse, ended bool) {
 	if n.leader == nil {
--- a/internal/simulation/fault_injection.go
+++ b/internal/simulation/fault_injection.go
@@ -199,7 +199,13 @@
 	case HeartbeatsReplayedToNextLeader:
 		sim.fleet.heartbeatsReplayed = messageFault{0.5, until}
 	case DirectCallsDuplicated:
-		sim.copies.duplicated[directCallRequest] = messageFault{faultyCopiedShare, until}
+		sim.copies.duplicate(directCallRequest, until)
+	case TransactionsDuplicated:
+		sim.copies.duplicate(transactionRequest, until)
+	case CloudCallsDuplicated:
+		sim.copies.duplicate(cloudRequest, until)
+	case PeerCallsDuplicated:
+		sim.copies.duplicate(peerRequest, until)
 	case FollowUpQueries:
 		sim.EnableFollowUps(span)
 	case RunningJobsCancelled:
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -75,6 +75,15 @@
 	// DirectCallsDuplicated: copies of direct calls that were answered arrive later, also after the
 	// process that sent them has ended.
 	DirectCallsDuplicated
+	// TransactionsDuplicated: copies of transactions that were answered arrive later, also after the process
+	// that sent them has ended.
+	TransactionsDuplicated
+	// CloudCallsDuplicated: copies of calls to the cloud that were answered arrive later, also after the
+	// process that sent them has ended.
+	CloudCallsDuplicated
+	// PeerCallsDuplicated: copies of requests of users and operators, which one controller forwards to another,
+	// arrive later, also after the process that sent them has ended.
+	PeerCallsDuplicated
 	// FollowUpQueries: users query all nodes after every response.
 	FollowUpQueries
 	// RunningJobsCancelled: users cancel several running jobs, some of whose machines hang.
--- a/internal/simulation/invariants.go
+++ b/internal/simulation/invariants.go
@@ -19,6 +19,8 @@
 	jobs        map[string]*observedJob
 	taskMachine map[string]string // machine by executing task
 	startCount  int
+	// storedCompletions holds the completed tasks in each stored record of completions, by key.
+	storedCompletions map[string]map[int]bool
 	// waiting holds the jobs that wait although they could start.
 	waiting       map[string]waitRecord
 	lastWaitCheck time.Time
@@ -48,6 +50,7 @@
 	return &InvariantChecker{
 		Teams: teams, CancelDeadline: cancelDeadline,
 		jobs: map[string]*observedJob{}, taskMachine: map[string]string{}, waiting: map[string]waitRecord{},
+		storedCompletions: map[string]map[int]bool{},
 	}
 }
 
--- a/internal/simulation/invariants_test.go
+++ b/internal/simulation/invariants_test.go
@@ -194,6 +194,11 @@
 	"went_back: job-1 is reported as cancelled although its user did not": func(c *invariantFixture) []error {
 		return []error{c.checkSubmissionResponse(201, wire.JobQueued), c.checkSubmissionResponse(200, wire.JobCancelled)}
 	},
+	"set_back": func(c *invariantFixture) []error {
+		store := func(change wire.Mutation) error { return c.CheckTransaction(wire.Txn{Then: []wire.Mutation{change}}) }
+		older, newer := wire.Mutation{Put: "d/job-1/0", Value: []byte(`"0"`)}, wire.Mutation{Put: "d/job-1/0", Value: []byte(`"0-1"`)}
+		return []error{store(older), store(newer), store(wire.Mutation{Delete: "d/job-1/0"}), store(older), store(newer), store(older)}
+	},
 	"orphaned": func(c *invariantFixture) []error {
 		c.RecordSubmission(&wire.Job{ID: "job-2", Team: "blue", Tasks: 1, CPUs: 1, Spot: true, DependsOn: []string{"job-1"}})
 		c.RecordCancellationRequest("job-1")
--- a/internal/simulation/node_election.go
+++ b/internal/simulation/node_election.go
@@ -29,7 +29,9 @@
 func (n *node) renewLease(retry func(time.Duration)) {
 	sim, sent, lease := n.sim, n.clock(), n.lease
 	sim.trace(boundaryStoreLease, n, "renew", lease)
-	n.callStore(func() error { return sim.Store.RenewLease(sim.now, lease) }, func(err error) {
+	renew := func() error { return sim.Store.RenewLease(sim.now, lease) }
+	sim.copies.answered(transactionRequest, n, func() { _ = renew() }) // nobody waits for the response
+	n.callStore(renew, func(err error) {
 		switch {
 		case n.leadership == nil:
 		case err == nil:
--- a/internal/simulation/observations.go
+++ b/internal/simulation/observations.go
@@ -49,6 +49,13 @@
 	WriteResponseLost Observation = "write response lost"
 	// DelayedTransaction: a transaction was executed late.
 	DelayedTransaction Observation = "delayed transaction"
+	// TransactionRepeated: a copy of an answered transaction, or of the renewal of a lease, reached the
+	// key-value store.
+	TransactionRepeated Observation = "transaction repeated"
+	// CloudCallRepeated: a copy of an answered call to the cloud reached it.
+	CloudCallRepeated Observation = "cloud call repeated"
+	// PeerCallRepeated: a copy of a request of a user or an operator reached the leader.
+	PeerCallRepeated Observation = "peer call repeated"
 	// TermStarted counts the terms.
 	TermStarted Observation = "term started"
 	// SecondTerm counts the terms from the second on, FifthTerm those from the fifth on.
--- a/internal/simulation/operators.go
+++ b/internal/simulation/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"switchshore.example/switchshore/internal/drain"
@@ -13,6 +14,8 @@
 // RequestDrain makes an operator send a drain request after a time and repeat it until a response
 // arrives.
 func (sim *Simulation) RequestDrain(after time.Duration, request *drain.Request, done func(drain.Response)) {
+	sim.drainRequests++
+	request.ID = strconv.Itoa(sim.drainRequests)
 	sim.after(after, func() { sim.tryDrainRequest(request, done) })
 }
 
@@ -25,7 +28,7 @@
 		finished = true
 		if drainsUnavailable(response.HTTPStatus) || sim.chance(0.2) {
 			// No leader with enabled drains was reached, or the response is lost.
-			sim.RequestDrain(sim.between(500, 3000), request, done)
+			sim.after(sim.between(500, 3000), func() { sim.tryDrainRequest(request, done) })
 			return
 		}
 		if done != nil {
@@ -37,6 +40,7 @@
 	if n == nil || n.previousVersion {
 		return
 	}
+	sim.copies.answered(peerRequest, n, func() { sim.executeDrainRequestCopy(n, request) })
 	n.after(sim.between(1, 30), func() {
 		if n.leader == nil {
 			return
@@ -48,6 +52,14 @@
 	})
 }
 
+// executeDrainRequestCopy executes a copy of an operator's request, which arrives at a node that has led, if a
+// leader can be reached from there. Nobody waits for its response.
+func (sim *Simulation) executeDrainRequestCopy(at *node, request *drain.Request) {
+	if n := sim.leaderFor(at); n != nil && !n.previousVersion {
+		n.leader.HandleDrainRequest(n.clock(), sim.now, request, func(drain.Response) {})
+	}
+}
+
 // drainsUnavailable reports whether a status code means that there is no leader or that drains are
 // disabled.
 func drainsUnavailable(status int) bool {
--- a/internal/simulation/request_copies.go
+++ b/internal/simulation/request_copies.go
@@ -1,17 +1,25 @@
 package simulation
 
+import "time"
+
 // requestKind is a kind of request of a controller that may arrive once more after its response.
 type requestKind int
 
 // Kinds of requests that may be copied.
 const (
-	directCallRequest requestKind = iota // a leader's direct call to an agent
+	directCallRequest  requestKind = iota // a leader's direct call to an agent
+	transactionRequest                    // a transaction, also that of a campaign, or the renewal of a lease
+	cloudRequest                          // a call that provisions or releases machines
+	peerRequest                           // a request of a user or an operator that one controller forwards to another
 	numberOfRequestKinds
 )
 
 // copyObservations are the observations of the requests that arrived once more, by kind.
 var copyObservations = [numberOfRequestKinds]Observation{
-	directCallRequest: DirectCallRepeated,
+	directCallRequest:  DirectCallRepeated,
+	transactionRequest: TransactionRepeated,
+	cloudRequest:       CloudCallRepeated,
+	peerRequest:        PeerCallRepeated,
 }
 
 const (
@@ -37,6 +45,11 @@
 	afterCrash map[*node][]func()
 }
 
+// duplicate makes copies of a share of the requests of a kind that are answered before a time.
+func (c *requestCopies) duplicate(kind requestKind, until time.Time) {
+	c.duplicated[kind] = messageFault{faultyCopiedShare, until}
+}
+
 // answered is called when a request of a node was answered. execute delivers a copy of the request.
 func (c *requestCopies) answered(kind requestKind, sender *node, execute func()) {
 	sim := c.sim
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -34,10 +34,12 @@
 	network   *network
 	storeLink storeLink
 	copies    *requestCopies
-	nodes     []*node
-	fleet     fleet
-	digest    traceDigest
-	failure   error // ends the run, for example a violation of an invariant
+	// drainRequests is the number of operators' requests so far. It is the ID of the next one.
+	drainRequests int
+	nodes         []*node
+	fleet         fleet
+	digest        traceDigest
+	failure       error // ends the run, for example a violation of an invariant
 }
 
 // cloudCapacity is the default number of machines that the cloud has of each offering.
@@ -61,7 +63,10 @@
 	sim.copies = &requestCopies{sim: sim, afterCrash: map[*node][]func(){}}
 	sim.faultInjector = &faultInjector{sim: sim}
 	sim.drainMonitor = &drainMonitor{sim: sim}
-	sim.Store.OnCommit = sim.recordTransaction
+	sim.Store.OnCommit = func(txn wire.Txn) {
+		sim.recordTransaction(txn)
+		sim.fail(sim.Invariants.CheckTransaction(txn))
+	}
 	for id := range nodes {
 		n := newNode(sim, id, machineType.Zones[id%len(machineType.Zones)])
 		sim.nodes = append(sim.nodes, n)
--- a/internal/simulation/store_link.go
+++ b/internal/simulation/store_link.go
@@ -127,6 +127,7 @@
 			return httpclient.ErrNoResponse
 		}
 		result, err = sim.Store.Commit(txn)
+		sim.copies.answered(transactionRequest, n, func() { _, _ = sim.Store.Commit(txn) }) // nobody waits for the response
 		return err
 	}, func(err error) { done(result, err) })
 }
--- a/internal/simulation/violation.go
+++ b/internal/simulation/violation.go
@@ -34,6 +34,8 @@
 	CancelledWithDependency Invariant = "orphaned"
 	// NoStarvation: no job waits for long while it can start.
 	NoStarvation Invariant = "left_waiting"
+	// StoredCompletionsKept: a stored completion is not taken back.
+	StoredCompletionsKept Invariant = "set_back"
 	// WithinDrainBudget: drains stay within the disruption budgets.
 	WithinDrainBudget Invariant = "budget"
 )
