Let agents forget attempts of unanswered direct calls, behind the same fence

Cause: the protection of unanswered starts was separate and had only the session to end it. Change: the fencing token that makes the agent refuse copies of answered calls also makes it refuse a late unanswered one, so the set of attempts that must not be forgotten is gone. Attempts that were never listed are kept as before.

--- a/internal/leader/helpers_test.go
+++ b/internal/leader/helpers_test.go
@@ -48,6 +48,7 @@
 	// "j/" for jobs, "f/" for final states and "s/" for starts: see records.Kind.
 	store        map[string]json.RawMessage
 	lastSequence uint64 // sequence number of the last heartbeat of any agent
+	lastToken    uint64 // fencing token of the last response to a heartbeat
 }
 
 // newLeader returns the leader of a term, which has loaded the stored records.
@@ -111,6 +112,7 @@
 	if outcome == leader.HeartbeatFromLaterTerm {
 		l.t.Fatal("the leader treats the heartbeat as one from a later term")
 	}
+	l.lastToken = response.FencingToken
 	return response.Commands
 }
 
--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -49,8 +49,7 @@
 	}
 }
 
-// recordExited records an exited task. If mayForget is true, the agent is told to forget the task,
-// unless its start may still arrive.
+// recordExited records an exited task. If mayForget is true, the agent is told to forget the task.
 func recordExited(m *machines.Machine, t *wire.TaskStatus, mayForget bool) {
 	key := machines.ExitKey{Task: t.Task, Attempt: t.Attempt}
 	m.AddExited(key, mayForget)
@@ -67,11 +66,6 @@
 		if a.State() == machines.StartSent {
 			m.RecordStartExecuted()
 		}
-		if a.DirectStartMayArrive() {
-			// The direct call's start may still arrive late. An agent that had forgotten the attempt
-			// would run the task again.
-			m.SuppressForget(machines.ExitKey{Task: t.Task, Attempt: t.Attempt})
-		}
 		l.applyExit(now, a, t)
 	case t.ExitReason == wire.ExitDone:
 		l.recordCompletion(now, j, index)
--- a/internal/machines/attempt.go
+++ b/internal/machines/attempt.go
@@ -43,9 +43,8 @@
 	// agent will never execute it.
 	startResponseSequence uint64
 	// directStartMayArrive is set while a direct call with the start has had no reply. The agent may
-	// execute that start at any later time in the session. So the attempt keeps its resources, and
-	// the agent isn't told to forget the attempt after its exit. As the start may also be lost, it
-	// is sent again in responses to heartbeats.
+	// execute that start at any later time in the session. So the attempt keeps its resources. As
+	// the start may also be lost, it is sent again in responses to heartbeats.
 	directStartMayArrive bool
 }
 
--- a/internal/machines/exit.go
+++ b/internal/machines/exit.go
@@ -16,16 +16,10 @@
 func (m *Machine) ClearExited() { m.exited = m.exited[:0] }
 
 // AddExited adds an exited attempt of the task list. mayForget is true if the leader doesn't need the
-// exit in later task lists. The agent is told to forget the attempt if mayForget is true and
-// SuppressForget was not called for the attempt in this session.
+// exit in later task lists. The agent is then told to forget the attempt, see startFence.
 func (m *Machine) AddExited(key ExitKey, mayForget bool) {
-	m.exited = append(m.exited, Exit{ExitKey: key, Forget: mayForget && !m.forgetSuppressed[key]})
+	m.exited = append(m.exited, Exit{ExitKey: key, Forget: mayForget})
 }
 
 // Exited returns the exited attempts of the last task list. The caller must not modify the slice.
 func (m *Machine) Exited() []Exit { return m.exited }
-
-// SuppressForget keeps the agent from being told to forget the exited attempt in this session. The
-// attempt's start may still arrive late, and an agent that had forgotten the attempt would run it
-// again.
-func (m *Machine) SuppressForget(key ExitKey) { m.forgetSuppressed[key] = true }
--- a/internal/machines/heartbeat.go
+++ b/internal/machines/heartbeat.go
@@ -84,12 +84,10 @@
 // AdvanceSession records the epoch and sequence number of a message. The agent executes no starts
 // of earlier sessions. So when a message begins a new session:
 //   - starts sent by direct calls can no longer arrive late
-//   - the agent may be told to forget exited attempts for which SuppressForget was called
 //   - a required release is cancelled, unless the machine is cordoned for consolidation or a late
 //     start
 func (m *Machine) AdvanceSession(epoch, sequence uint64) {
 	if epoch > m.epoch {
-		clear(m.forgetSuppressed)
 		m.lastPeriodicSequence = 0
 		if !m.IsCordonedFor(CordonConsolidated | CordonLateStart) {
 			m.releaseBy = time.Time{}
--- a/internal/machines/machine.go
+++ b/internal/machines/machine.go
@@ -23,28 +23,24 @@
 	capacity
 	explicitCordons CordonReason // set with Cordon; other reasons are derived from the fields above
 
-	attempts []*Attempt // in the order in which they were added
-	exited   []Exit     // exited attempts in the last task list
-	// forgetSuppressed holds exited attempts whose start may still arrive late. The agent has to
-	// remember these attempts, or it would execute such a start and run the task again.
-	forgetSuppressed map[ExitKey]bool
-	imageSeenAt      map[string]time.Time // by image: when it was last recorded on the machine
+	attempts    []*Attempt           // in the order in which they were added
+	exited      []Exit               // exited attempts in the last task list
+	imageSeenAt map[string]time.Time // by image: when it was last recorded on the machine
 }
 
 // New returns a machine that was provisioned at the given time. ApplyCloudListing may set an
 // earlier time.
 func New(provisionedAt time.Time, id, machineType, zone, addr string, spot bool) *Machine {
 	return &Machine{
-		ID:               id,
-		Type:             machineType,
-		Zone:             zone,
-		Addr:             addr,
-		Spot:             spot,
-		lifecycle:        lifecycle{provisionedAt: provisionedAt, idleSince: provisionedAt},
-		capacity:         capacity{snapshotOutdated: true},
-		failures:         failures{excludedJobs: map[string]bool{}, countedFailedJobs: map[string]bool{}},
-		forgetSuppressed: map[ExitKey]bool{},
-		imageSeenAt:      map[string]time.Time{},
+		ID:          id,
+		Type:        machineType,
+		Zone:        zone,
+		Addr:        addr,
+		Spot:        spot,
+		lifecycle:   lifecycle{provisionedAt: provisionedAt, idleSince: provisionedAt},
+		capacity:    capacity{snapshotOutdated: true},
+		failures:    failures{excludedJobs: map[string]bool{}, countedFailedJobs: map[string]bool{}},
+		imageSeenAt: map[string]time.Time{},
 	}
 }
 
--- a/internal/machines/start_fence.go
+++ b/internal/machines/start_fence.go
@@ -1,8 +1,8 @@
 package machines
 
 // startFence prevents the agent from executing the start of a direct call once more after it has
-// forgotten the attempt. A copy of a direct call may arrive minutes later, also when the call got a
-// reply and its sender has ended. The agent executes it as long as it is in the same session and has
+// forgotten the attempt. A direct call, or a copy of it, may arrive minutes later, also when the call
+// got a reply and its sender has ended. The agent executes it as long as it is in the same session and has
 // seen no higher fencing token, and a start has an effect unless the agent still lists the attempt.
 // So the response that lets the agent forget attempts carries a higher token than all direct calls
 // with starts before: the agent either misses both, and still lists the attempts, or it refuses
