--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -15,8 +15,8 @@
 	"switchshore.example/switchshore/wire"
 )
 
-// maxConnections is the largest number of open connections to the cloud.
-const maxConnections = 16
+// MaxConnections is the largest number of open connections to the cloud.
+const MaxConnections = 16
 
 // Client is the HTTP client of the cloud.
 type Client struct {
@@ -27,7 +27,7 @@
 // NewClient returns a client for addr that keeps to the leader's share of the rate limit.
 func NewClient(addr string, limits config.CloudLimits) *Client {
 	return &Client{
-		http:        httpclient.New(addr, maxConnections, tuning.ConnectionIdleTimeout),
+		http:        httpclient.New(addr, MaxConnections, tuning.ConnectionIdleTimeout),
 		rateLimiter: newRateLimiter(limits),
 	}
 }
--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -12,8 +12,8 @@
 	"switchshore.example/switchshore/wire"
 )
 
-// maxConnections is the largest number of open connections to the store.
-const maxConnections = 64
+// MaxConnections is the largest number of open connections to the store.
+const MaxConnections = 64
 
 // Client is the HTTP client of the key-value store.
 type Client struct {
@@ -28,7 +28,7 @@
 // has in a cluster with the given number of nodes.
 func NewClient(addr string, limits config.KVStoreLimits, nodes int) *Client {
 	return &Client{
-		http:   httpclient.New(addr, maxConnections, tuning.ConnectionIdleTimeout),
+		http:   httpclient.New(addr, MaxConnections, tuning.ConnectionIdleTimeout),
 		budget: newBudget(limits, nodes),
 	}
 }
