Review case 6: a copied command starts a task on a restarted machine

Cause: when a list of the same session lacks a running task, the task is started elsewhere, and direct starts of the machine's earlier worker stay valid. Change: a case that shows it.

--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -11,6 +11,7 @@
 var plays = map[string]play{
 	"quota":    {newsroom, playQuota},
 	"onefails": {newsroom, playOneFails},
+	"restart":  {newsroomFleet, playRestart},
 }
 
 // playOneFails: one of a job's tasks fails once, the others are done. The job has to be done at last.
--- a/review/standin2/sites.go
+++ b/review/standin2/sites.go
@@ -72,3 +72,34 @@
 		runTime: func(int) time.Duration { return time.Duration(reckonS * float64(time.Second)) },
 	}
 }
+
+// newsroomFleet returns the settings of the first deployment as it has grown (deyal-press-cluster-fleet).
+func newsroomFleet() params {
+	p := newsroom()
+	p.zones = []string{"mezourlo", "neapoli", "giannouli", "mezourlo", "neapoli"}
+	p.teams = `[[facts.teams]]
+name = "syntaxi"
+cpus = 5000.0
+cpus_max = 12000.0
+gpus = 0.0
+gpus_max = 0.0
+[[facts.teams]]
+name = "logariasmoi"
+cpus = 7000.0
+cpus_max = 30000.0
+gpus = 0.0
+gpus_max = 0.0
+[[facts.teams]]
+name = "michanikoi"
+cpus = 5000.0
+cpus_max = 18000.0
+gpus = 0.0
+gpus_max = 0.0
+`
+	p.limits = map[string]float64{"syntaxi": 12000, "logariasmoi": 30000, "michanikoi": 18000}
+	p.report, p.lease, p.cancel = 5*time.Second, 26500*time.Millisecond, 56500*time.Millisecond
+	p.state = stateLimits{rps: 350, writeRPS: 150, valueKB: 16, txnOps: 48}
+	p.cloudRPS = 12
+	p.coreShare, p.memoryMB, p.fdLimit = 0.168, 322, 3132
+	return p
+}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -88,6 +88,9 @@
 	lastSent time.Time
 	nextAt   time.Time
 	helmAt   time.Time // when a higher token last counted as a change
+	off      bool      // the machine is restarting
+	lives    int       // how many times the machine has restarted
+	starts   [][]byte  // the direct commands with starts that were executed, as received
 }
 
 // newWorker returns a worker that has an address and does not run yet.
@@ -146,6 +149,40 @@
 	k.w.rec.printf("%s: %s", k.deck, reason)
 }
 
+// restart restarts the machine: all tasks end, and a new worker begins that knows nothing of the earlier
+// one. Images that were fetched are still there.
+func (k *worker) restart(down time.Duration) {
+	k.mu.Lock()
+	k.off = true
+	for _, t := range k.tasks {
+		if t.isOn() {
+			k.w.taskEnded(k, t, "machine restarts")
+		}
+	}
+	k.w.rec.printf("%s: restarts", k.deck)
+	k.tasks, k.results = nil, map[string]bool{}
+	k.watch, k.knot, k.helm, k.helmAt = 1, 0, 0, time.Time{}
+	k.lives++
+	k.client.CloseIdleConnections()
+	k.mu.Unlock()
+	time.Sleep(down)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.off = false
+	k.renewed, k.nextAt = time.Now(), time.Now()
+	k.w.rec.printf("%s: a new worker is up", k.deck)
+}
+
+// lastStart returns the last direct command with a start that the worker has executed, as received.
+func (k *worker) lastStart() []byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.starts) == 0 {
+		return nil
+	}
+	return k.starts[len(k.starts)-1]
+}
+
 // nextReport returns the next report. The caller holds mu.
 func (k *worker) nextReport() report {
 	k.knot++
@@ -168,7 +205,9 @@
 			k.mu.Unlock()
 			return
 		}
-		k.advance(time.Now())
+		if !k.off {
+			k.advance(time.Now())
+		}
 		k.mu.Unlock()
 	}
 }
@@ -229,6 +268,7 @@
 			k.w.startCommanded(k, o.Oar)
 			k.tasks = append(k.tasks, k.startTask(now, o))
 			k.changed = true
+			k.advance(now)
 		case o.Call == "kill" && i >= 0 && k.tasks[i].Bearing != exited:
 			k.kill(now, k.tasks[i], o.SlackS)
 			k.changed = true
@@ -303,14 +343,17 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.ended {
-		return
+	if k.ended || k.off {
+		panic(http.ErrAbortHandler) // the connection ends without a response
 	}
 	status := http.StatusConflict
 	k.advance(time.Now())
 	if *request.Helm >= k.helm && *request.Watch == k.watch {
 		status = http.StatusOK
 		k.raiseHelm(*request.Helm)
+		if slices.ContainsFunc(request.Orders, func(o order) bool { return o.Call == "run" }) {
+			k.starts = append(k.starts, body)
+		}
 		k.execute(request.Orders, "direct command")
 	} else {
 		k.w.rec.printf("%s: refuses a direct command with token %d and session %d", k.deck, *request.Helm, *request.Watch)
@@ -340,7 +383,7 @@
 			k.mu.Unlock()
 			return
 		}
-		if now.Before(k.nextAt) && !(k.changed && now.Sub(k.lastSent) >= 500*time.Millisecond) {
+		if k.off || now.Before(k.nextAt) && !(k.changed && now.Sub(k.lastSent) >= 500*time.Millisecond) {
 			k.mu.Unlock()
 			continue
 		}
@@ -348,21 +391,21 @@
 		k.changed = false
 		k.lastSent = now
 		k.nextAt = k.w.nextReportAt(k.deck, now)
-		addr := k.w.controllers[k.node].client
+		addr, life := k.w.controllers[k.node].client, k.lives
 		k.mu.Unlock()
-		k.send(r, now, addr)
+		k.send(r, now, addr, life)
 	}
 }
 
 // send sends a report and applies the response.
-func (k *worker) send(r report, sent time.Time, addr string) {
+func (k *worker) send(r report, sent time.Time, addr string, life int) {
 	body, _ := json.Marshal(r) // can't fail
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
 	status, data := post(ctx, k.client, "http://"+addr+"/checkin", body)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.ended {
+	if k.ended || life != k.lives {
 		return
 	}
 	var response struct {
