--- a/review/standin2/restart.go
+++ b/review/standin2/restart.go
@@ -18,7 +18,7 @@
 	// Three long tasks and a short one fill the first machine, so the next task gets another one.
 	long := newJob("job-000001", "page-renders", "michanikoi", "normal", 3, 4, 100)
 	short := newJob("job-000002", "page-renders", "michanikoi", "normal", 1, 4, 100)
-	short.runTime = func(int) time.Duration { return 10 * time.Second }
+	short.runTime = func(int) time.Duration { return 3 * time.Second }
 	for _, j := range []*job{long, short} {
 		if err := w.submit(j); err != nil {
 			return err
@@ -38,7 +38,7 @@
 	if err := waitFor(15*time.Second, "the short task is over", func() bool { return w.locate("job-000002/0") == "" }); err != nil {
 		return err
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(500 * time.Millisecond)
 	machine := w.workerNamed(w.locate(oar))
 	if machine == nil {
 		return errors.New("the single task is on no machine")
