Let all parts of the scheduler ask one predicate where a task may run

Cause: placement excluded the machine for the whole term, but the planner knew of the failure only until the job's next success, and then counted the machine as capacity. The planner also ignored the zones of the job's other tasks and the maximum of tasks a machine; exclusions, and the quarantine of a machine with a long task, never ended.

Change: PendingJob.CanRunOn(*Host) is the one predicate, asked by placement, planner, preemption, consolidation and drains. Exclusions and quarantines end after 60 s, so that no job waits for 90 s beside a machine that fits when the cloud has no other; until then the planner keeps such a machine. A machine gets up to 400 tasks, which is what a heartbeat of 64 KiB can list.

--- a/internal/autoscale/bins.go
+++ b/internal/autoscale/bins.go
@@ -11,9 +11,7 @@
 // bin is a machine to which the planner assigns waiting tasks: an existing machine, a requested one, or
 // one that the plan provisions.
 type bin struct {
-	machineID           string // empty unless the machine exists
-	offering            Offering
-	capacity            placement.Resources
+	host                placement.Host // counts the assigned tasks, too
 	free                placement.Resources
 	remainingCPUSeconds float64 // estimated work of the machine's tasks and of those assigned to it
 	bootRemainingS      float64 // expected time until it has booted
@@ -23,22 +21,24 @@
 
 func newBin(m *Machine) bin {
 	return bin{
-		machineID: m.ID, offering: m.Offering, capacity: m.Capacity, free: m.Free,
+		host: m.Host, free: m.Free,
 		remainingCPUSeconds: m.RemainingCPUSeconds, bootRemainingS: m.BootRemainingS, schedulable: m.Schedulable,
 	}
 }
 
 // assignTasks assigns as many of the tasks to the bin as fit into its free resources now, or as many as
 // its CPUs can run within withinS seconds, whichever is more. The remaining boot time shortens withinS,
-// but by at most half. assignTasks returns the number of assigned tasks.
+// but by at most half. The bin gets at most tuning.MaxTasksPerMachine tasks. assignTasks returns the
+// number of assigned tasks.
 func (b *bin) assignTasks(d *Demand, tasks int, withinS float64) int {
-	taskCPUSeconds := max(d.EstimatedRunTimeS, tuning.MinimumEstimateS) * d.Request.CPUs
-	availableCPUSeconds := b.capacity.CPUs*usableShare(b.capacity, d.Request)*(withinS-min(b.bootRemainingS, withinS/2)) - b.remainingCPUSeconds
-	n := max(parallelTasks(b.free, d.Request), int(availableCPUSeconds/taskCPUSeconds))
-	n = max(0, min(n, tasks))
+	taskCPUSeconds := max(d.EstimatedRunTimeS, tuning.MinimumEstimateS) * d.Job.Request.CPUs
+	availableCPUSeconds := b.host.Capacity.CPUs*usableShare(b.host.Capacity, d.Job.Request)*(withinS-min(b.bootRemainingS, withinS/2)) - b.remainingCPUSeconds
+	n := max(parallelTasks(b.free, d.Job.Request), int(availableCPUSeconds/taskCPUSeconds))
+	n = max(0, min(n, tasks, tuning.MaxTasksPerMachine-b.host.Tasks))
 	b.hasDemand = b.hasDemand || n > 0
 	b.remainingCPUSeconds += float64(n) * taskCPUSeconds
-	b.free = b.free.Add(d.Request, -float64(n))
+	b.free = b.free.Add(d.Job.Request, -float64(n))
+	b.host.Tasks += n
 	return n
 }
 
--- a/internal/autoscale/offerings.go
+++ b/internal/autoscale/offerings.go
@@ -3,7 +3,6 @@
 import (
 	"sort"
 
-	"switchshore.example/switchshore/internal/placement"
 	"switchshore.example/switchshore/wire"
 )
 
@@ -44,7 +43,7 @@
 	var best *pricedOffering
 	for i := range p.offerings {
 		o := &p.offerings[i]
-		if !d.allows(o.Offering) || p.input.IsUnavailable(o.Offering) || !placement.MachineCapacity(p.typesByName[o.Type]).Fits(d.Request) {
+		if host := p.newHost(o.Offering); p.input.IsUnavailable(o.Offering) || !d.Job.CanRunOn(&host) {
 			continue
 		}
 		if best == nil || o.pricePerCPU == best.pricePerCPU && p.plan.ScaleOut[o.Offering] < p.plan.ScaleOut[best.Offering] {
--- a/internal/autoscale/plan.go
+++ b/internal/autoscale/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sort"
 	"time"
 
@@ -12,38 +11,20 @@
 
 // Demand describes the tasks of one job that are waiting for capacity.
 type Demand struct {
+	// Job decides on which machines the tasks may run, and has the request of a task.
+	Job               *placement.PendingJob
 	Tasks             int
-	Request           placement.Resources // per task
-	EstimatedRunTimeS float64             // of a task, in seconds
-	// MachineTypes lists the allowed machine types; empty allows all.
-	MachineTypes []string
-	// Zone is the only allowed zone; empty allows all.
-	Zone string
-	// SpotAllowed is set if the tasks may run on spot instances too.
-	SpotAllowed bool
+	EstimatedRunTimeS float64 // of a task, in seconds
 	// StartWithinS is the time in seconds within which the tasks should start.
 	StartWithinS float64
-	// AvoidMachines contains the IDs of the machines on which the job has failed. The
-	// planner assigns none of the job's tasks to them: if it counted a faulty machine as
-	// capacity, it might never provision another one, and the job would wait forever.
-	AvoidMachines map[string]bool
-}
-
-// allows reports whether the tasks may run on machines of the offering.
-func (d *Demand) allows(o Offering) bool {
-	if o.Spot && !d.SpotAllowed || d.Zone != "" && d.Zone != o.Zone {
-		return false
-	}
-	return len(d.MachineTypes) == 0 || slices.Contains(d.MachineTypes, o.Type)
 }
 
 // Machine is the snapshot of an existing machine or of one that a provision call in
 // flight requests.
 type Machine struct {
-	ID       string // empty if the machine is only requested
-	Offering Offering
-	Capacity placement.Resources
-	Free     placement.Resources // the part of Capacity that no task uses
+	placement.Host
+	ID   string              // empty if the machine is only requested
+	Free placement.Resources // the part of Capacity that no task uses
 	// RemainingCPUSeconds is the estimated remaining work of the machine's tasks: the
 	// sum of their remaining run times, each multiplied by its CPUs.
 	RemainingCPUSeconds float64
@@ -153,14 +134,20 @@
 }
 
 // planDemand assigns tasks of the demand to the bins that can start them in time, and
-// provisions machines for the other tasks.
+// provisions machines for the other tasks. If it can't provision enough of them, it keeps machines
+// that exclude the job.
 func (p *planner) planDemand(d *Demand) {
-	tasks := p.assignToBins(d, d.Tasks, d.StartWithinS)
+	p.keepExcluding(d, p.provisionFor(d, p.assignToBins(d, d.Tasks, d.StartWithinS)))
+}
+
+// provisionFor provisions machines for tasks of the demand, and returns the number of tasks for which
+// it can't.
+func (p *planner) provisionFor(d *Demand, tasks int) int {
 	retriedWithLongerWait := false
 	for tasks > 0 && p.belowMaxMachines() {
 		offering, ok := p.cheapestOffering(d)
 		if !ok {
-			return
+			return tasks
 		}
 		if lowest := p.offerings[0].pricePerCPU; offering.pricePerCPU > lowest && !retriedWithLongerWait {
 			// Before provisioning an expensive offering, try once more to assign the tasks
@@ -171,6 +158,20 @@
 		}
 		tasks -= p.addMachine(offering.Offering, d, tasks)
 	}
+	return tasks
+}
+
+// keepExcluding marks bins for the tasks that could be placed there but for an earlier failure of their
+// job. The exclusion ends before the cloud may have another machine, so they must not be released.
+func (p *planner) keepExcluding(d *Demand, tasks int) {
+	for i := range p.bins {
+		b := &p.bins[i]
+		host := b.host
+		host.ExcludedJobs = nil
+		if tasks > 0 && b.schedulable && d.Job.CanRunOn(&host) {
+			tasks -= b.assignTasks(d, tasks, d.StartWithinS)
+		}
+	}
 }
 
 // assignToBins assigns to the bins as many of the tasks as they can start within
@@ -178,7 +179,7 @@
 func (p *planner) assignToBins(d *Demand, tasks int, withinS float64) int {
 	for i := range p.bins {
 		b := &p.bins[i]
-		if tasks > 0 && b.schedulable && !d.AvoidMachines[b.machineID] && d.allows(b.offering) && b.capacity.Fits(d.Request) {
+		if tasks > 0 && b.schedulable && d.Job.CanRunOn(&b.host) {
 			tasks -= b.assignTasks(d, tasks, withinS)
 		}
 	}
@@ -189,8 +190,8 @@
 // returns the number of assigned tasks. It returns 1 if the machine can run none in
 // time, so that the loop in planDemand ends.
 func (p *planner) addMachine(o Offering, d *Demand, tasks int) int {
-	capacity := placement.MachineCapacity(p.typesByName[o.Type])
-	b := bin{offering: o, capacity: capacity, free: capacity, schedulable: true}
+	host := p.newHost(o)
+	b := bin{host: host, free: host.Capacity, schedulable: true}
 	assigned := max(1, b.assignTasks(d, tasks, d.StartWithinS))
 	p.bins = append(p.bins, b)
 	p.plan.ScaleOut[o]++
@@ -198,6 +199,11 @@
 	return assigned
 }
 
+// newHost returns a machine of the offering without tasks.
+func (p *planner) newHost(o Offering) placement.Host {
+	return placement.Host{Type: o.Type, Zone: o.Zone, Spot: o.Spot, Capacity: placement.MachineCapacity(p.typesByName[o.Type])}
+}
+
 // scaleOutForArrivals provisions machines until there are as many schedulable CPUs as
 // ArrivalCPUs, but only while more tasks wait than fit into the free CPUs. With fewer
 // CPUs, the backlog would grow until all of it became urgent at once. Machines
@@ -210,7 +216,7 @@
 	}
 	for i := range p.input.Demand {
 		d := &p.input.Demand[i]
-		waitingCPUs := float64(d.Tasks)*d.Request.CPUs - freeCPUs
+		waitingCPUs := float64(d.Tasks)*d.Job.Request.CPUs - freeCPUs
 		freeCPUs = max(0, -waitingCPUs)
 		for waitingCPUs > 0 && schedulableCPUs < p.input.ArrivalCPUs && p.belowMaxMachines() {
 			offering, ok := p.cheapestOffering(d)
--- a/internal/consolidation/consolidation.go
+++ b/internal/consolidation/consolidation.go
@@ -69,6 +69,9 @@
 	// unallocated contains, for each machine, the free capacity that this pass has not allocated
 	// to waiting or moved tasks.
 	unallocated map[*machines.Machine]placement.Resources
+	// addedTasks contains, for each machine, the number of waiting and moved tasks to which this pass has
+	// allocated its capacity.
+	addedTasks map[*machines.Machine]int
 }
 
 // classifyMachines divides the schedulable machines into movable and targetsOnly.
@@ -94,6 +97,7 @@
 	})
 	targets := slices.Concat(p.movable, p.targetsOnly)
 	p.unallocated = map[*machines.Machine]placement.Resources{}
+	p.addedTasks = map[*machines.Machine]int{}
 	for _, m := range targets {
 		p.unallocated[m] = m.Free()
 	}
@@ -127,7 +131,7 @@
 				break
 			}
 			remainingTargets = remainingTargets[i:]
-			p.allocate(remainingTargets[0], j)
+			p.allocate(remainingTargets[0], j, 1)
 		}
 	}
 }
@@ -142,19 +146,20 @@
 		i := p.firstFit(a.Job, targets)
 		if i < 0 {
 			for k, t := range allocated {
-				p.unallocated[t] = p.unallocated[t].Add(m.Attempts()[k].Job.Request(), 1)
+				p.allocate(t, m.Attempts()[k].Job, -1)
 			}
 			return false
 		}
-		p.allocate(targets[i], a.Job)
+		p.allocate(targets[i], a.Job, 1)
 		allocated = append(allocated, targets[i])
 	}
 	return true
 }
 
-// allocate allocates capacity on the machine for one task of the job.
-func (p *pass) allocate(m *machines.Machine, j *jobs.Job) {
-	p.unallocated[m] = p.unallocated[m].Add(j.Request(), -1)
+// allocate allocates capacity on the machine for a number of tasks of the job. A negative number frees it.
+func (p *pass) allocate(m *machines.Machine, j *jobs.Job, tasks int) {
+	p.unallocated[m] = p.unallocated[m].Add(j.Request(), -float64(tasks))
+	p.addedTasks[m] += tasks
 }
 
 // cordonAndStop cordons a machine and requests graceful stops of its attempts.
@@ -193,6 +198,8 @@
 func (p *pass) firstFit(j *jobs.Job, targets []*machines.Machine) int {
 	constraints := j.PlacementConstraints()
 	return slices.IndexFunc(targets, func(m *machines.Machine) bool {
-		return p.unallocated[m].Fits(j.Request()) && !m.ExcludesJob(j.ID) && constraints.CanRunOn(m.PlacementView())
+		host := m.Host()
+		host.Tasks += p.addedTasks[m]
+		return p.unallocated[m].Fits(j.Request()) && constraints.CanRunOn(&host)
 	})
 }
--- a/internal/drainer/evict.go
+++ b/internal/drainer/evict.go
@@ -144,7 +144,7 @@
 }
 
 // provisionableMachines returns an empty machine of each offering that no drain forbids to provision.
-func (s *drainStep) provisionableMachines() []*placement.Machine {
+func (s *drainStep) provisionableMachines() []*placement.Host {
 	return s.drainer.cluster.Catalogue.Offerings(func(machineType, zone string) bool {
 		return !s.drainer.BlocksProvisioning(autoscale.Offering{Type: machineType, Zone: zone})
 	})
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -87,7 +87,7 @@
 // job may be placed. Callers must not modify TasksByZone, which is the job's own map.
 func (j *Job) PlacementConstraints() *placement.PendingJob {
 	return &placement.PendingJob{
-		MachineTypes: j.MachineTypes, Zone: j.Zone, OneZone: j.OneZone, SpreadZones: j.SpreadZones,
+		JobID: j.ID, MachineTypes: j.MachineTypes, Zone: j.Zone, OneZone: j.OneZone, SpreadZones: j.SpreadZones,
 		AllowsSpot: j.Spot, Request: j.request, TotalTasks: j.Tasks, TasksByZone: j.allocationsByZone,
 	}
 }
--- a/internal/leader/failures.go
+++ b/internal/leader/failures.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"time"
+
 	"switchshore.example/switchshore/internal/jobs"
 	"switchshore.example/switchshore/internal/machines"
 )
@@ -12,11 +14,11 @@
 // quarantined.
 
 // recordTaskFailure records that a task of the job has failed on the machine.
-func (l *Leader) recordTaskFailure(j *jobs.Job, m *machines.Machine) {
+func (l *Leader) recordTaskFailure(now time.Time, j *jobs.Job, m *machines.Machine) {
 	j.AddFailedOn(m.ID)
-	m.ExcludeJob(j.ID)
+	m.ExcludeJob(now, j.ID)
 	if !j.IsFaulty() {
-		l.countFailedJob(m, j)
+		l.countFailedJob(now, m, j)
 		return
 	}
 	// The job itself is at fault: its failures no longer count against machines.
@@ -28,13 +30,13 @@
 }
 
 // recordTaskSuccess records that a task of the job has completed on the machine.
-func (l *Leader) recordTaskSuccess(j *jobs.Job, m *machines.Machine) {
+func (l *Leader) recordTaskSuccess(now time.Time, j *jobs.Job, m *machines.Machine) {
 	m.RecordTaskSuccess()
 	// The job is not at fault, so its failures count against the machines on which they occurred.
 	// They don't count against m, which has just completed a task.
 	for id := range j.FailedOn() {
 		if other := l.machines.Get(id); other != nil && other != m {
-			l.countFailedJob(other, j)
+			l.countFailedJob(now, other, j)
 		}
 	}
 	j.RecordSuccess()
@@ -42,8 +44,15 @@
 
 // countFailedJob counts a failed job against a machine. The machine is quarantined if too many jobs
 // in a row have now failed on it.
-func (l *Leader) countFailedJob(m *machines.Machine, j *jobs.Job) {
-	if quarantined := m.CountFailedJob(j.ID); quarantined {
+func (l *Leader) countFailedJob(now time.Time, m *machines.Machine, j *jobs.Job) {
+	if quarantined := m.CountFailedJob(now, j.ID); quarantined {
 		l.log.Info().Str("machine", m.ID).Msg("machine quarantined")
 	}
 }
+
+// endExclusions ends the exclusions of jobs from machines, and the quarantines, whose time has passed.
+func (l *Leader) endExclusions(now time.Time) {
+	for _, m := range l.machines.All() {
+		m.EndExclusions(now)
+	}
+}
--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -190,13 +190,13 @@
 		if a.State() == machines.Running && a.HasRun() {
 			l.runTimeRatios.Observe(j, a.RunTime(now).Seconds()+j.CheckpointedRunTimeS(a.Index))
 		}
-		l.recordTaskSuccess(j, m)
+		l.recordTaskSuccess(now, j, m)
 		m.RecordImage(now, j.Image)
 		l.recordCompletion(now, j, a.Index)
 	case wire.ExitError:
 		l.log.Debug().Str("machine", m.ID).Str("task", t.Task).Msg("task failed")
 		j.CountFailure(now)
-		l.recordTaskFailure(j, m)
+		l.recordTaskFailure(now, j, m)
 	case wire.ExitNoCapacity, wire.ExitTaskBusy: // busy: another attempt of the task is on the machine
 		m.MarkTaskRefused(now.Add(tuning.RefusedTaskBackoff))
 	case wire.ExitUnknown: // the agent finds no such job, which has not been uploaded yet
--- a/internal/leader/scaling.go
+++ b/internal/leader/scaling.go
@@ -24,14 +24,14 @@
 		c.ScaleInIdleTime = seconds.Duration(l.operatorSettings.ScaleInIdleS)
 	}
 	return scaling.New(c, scaling.Cluster{
-		Machines:           l.machines,
-		Catalogue:          l.catalogue,
-		Demand:             l.demand,
-		IsHeartbeatOverdue: func(now time.Time, m *machines.Machine) bool { return m.HeartbeatOverdue(now, &l.timing) },
-		RemainingS:         l.remainingS,
-		IsReplacement:      func(id string) bool { return l.drainer.IsReplacement(id) },
-		IsBlockedByDrain:   func(o autoscale.Offering) bool { return l.drainer.BlocksProvisioning(o) },
-		IsPartitioned:      l.partitionDetector.IsPartitioned,
+		Machines:         l.machines,
+		Catalogue:        l.catalogue,
+		Demand:           l.demand,
+		IsCapacity:       func(now time.Time, m *machines.Machine) bool { return m.IsCapacity(now, &l.timing) },
+		RemainingS:       l.remainingS,
+		IsReplacement:    func(id string) bool { return l.drainer.IsReplacement(id) },
+		IsBlockedByDrain: func(o autoscale.Offering) bool { return l.drainer.BlocksProvisioning(o) },
+		IsPartitioned:    l.partitionDetector.IsPartitioned,
 	})
 }
 
@@ -98,14 +98,28 @@
 			continue
 		}
 		// A task occupies its resources during the start delay as well.
-		demand = append(demand, autoscale.Demand{
-			Tasks: demandedTasks, StartWithinS: l.startWithinS(now, j), Request: j.Request(), EstimatedRunTimeS: r.EstimatedRunTimeS + float64(l.startDelay),
-			MachineTypes: j.MachineTypes, Zone: j.Zone, SpotAllowed: j.Spot, AvoidMachines: j.FailedOn(),
-		})
+		d := autoscale.Demand{
+			Job: r, Tasks: demandedTasks, StartWithinS: l.startWithinS(now, j), EstimatedRunTimeS: r.EstimatedRunTimeS + float64(l.startDelay),
+		}
+		demand = append(demand, splitAgedDemand(d, j.PlacementWait(now))...)
 	}
 	return demand
 }
 
+// splitAgedDemand returns the demand of a job. If no task of the job was placed for
+// tuning.AgingThreshold, one of the tasks gets a demand of its own and is to start at once, which only
+// free resources allow. The estimated remaining run times of other tasks don't count for it: if these
+// tasks exceed their estimates, the job could wait for as long as they run.
+func splitAgedDemand(d autoscale.Demand, wait time.Duration) []autoscale.Demand {
+	if wait < tuning.AgingThreshold {
+		return []autoscale.Demand{d}
+	}
+	aged := d
+	aged.Tasks, aged.StartWithinS = 1, 0
+	d.Tasks--
+	return []autoscale.Demand{aged, d}
+}
+
 // FinishProvision applies the result of a provisioning call. ids holds the IDs of the new machines,
 // and is empty if the cloud rejected the call.
 func (l *Leader) FinishProvision(now time.Time, r wire.ProvisionRequest, ids []string) {
--- a/internal/leader/submission.go
+++ b/internal/leader/submission.go
@@ -105,7 +105,7 @@
 	probe := placement.PendingJob{MachineTypes: spec.MachineTypes, Zone: spec.Zone, AllowsSpot: true, Request: request, TotalTasks: spec.Tasks}
 	for machineType := range l.catalogue.AllTypes() {
 		for _, zone := range machineType.Zones {
-			if probe.CanRunOn(&placement.Machine{Type: machineType.Name, Zone: zone, Capacity: placement.MachineCapacity(machineType)}) {
+			if probe.CanRunOn(&placement.Host{Type: machineType.Name, Zone: zone, Capacity: placement.MachineCapacity(machineType)}) {
 				return ""
 			}
 		}
--- a/internal/machines/capacity.go
+++ b/internal/machines/capacity.go
@@ -97,12 +97,12 @@
 func (m *Machine) ResetSnapshot() *placement.Machine {
 	s := m.snapshot
 	if s == nil {
-		s = &placement.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, ExcludedJobs: m.excludedJobs, Images: map[string]float64{}}
+		s = &placement.Machine{ID: m.ID, Images: map[string]float64{}}
 		m.snapshot = s
 	}
 	m.snapshotOutdated = false
 	s.Modified = false
-	s.Capacity, s.Free = m.total, m.free
+	s.Host, s.Free = m.Host(), m.free
 	s.PlacedTasks = s.PlacedTasks[:0]
 	clear(s.Images)
 	for image := range m.imageSeenAt {
--- a/internal/machines/catalogue.go
+++ b/internal/machines/catalogue.go
@@ -78,13 +78,13 @@
 }
 
 // Offerings returns the offered pairs of type and zone for which include returns true. Each pair is
-// returned as a machine without an ID and without tasks.
-func (c *Catalogue) Offerings(include func(machineType, zone string) bool) []*placement.Machine {
-	var offerings []*placement.Machine
+// returned as an on-demand machine without tasks.
+func (c *Catalogue) Offerings(include func(machineType, zone string) bool) []*placement.Host {
+	var offerings []*placement.Host
 	for _, t := range c.offered {
 		for _, zone := range t.Zones {
 			if include(t.Name, zone) {
-				offerings = append(offerings, &placement.Machine{Type: t.Name, Zone: zone, Capacity: placement.MachineCapacity(t)})
+				offerings = append(offerings, &placement.Host{Type: t.Name, Zone: zone, Capacity: placement.MachineCapacity(t)})
 			}
 		}
 	}
--- a/internal/machines/failures.go
+++ b/internal/machines/failures.go
@@ -1,30 +1,48 @@
 package machines
 
-import "switchshore.example/switchshore/internal/tuning"
+import (
+	"time"
+
+	"switchshore.example/switchshore/internal/tuning"
+)
 
 // failures holds the jobs whose tasks have failed on a machine.
 type failures struct {
-	excludedJobs      map[string]bool // IDs of all jobs with a failed task
-	countedFailedJobs map[string]bool // IDs of jobs whose failures count against the machine
+	excludedJobs      map[string]time.Time // IDs of the jobs that are not placed on the machine, and until when
+	countedFailedJobs map[string]bool      // IDs of jobs whose failures count against the machine
+	quarantinedAt     time.Time            // when the machine was last quarantined
 }
 
 // ExcludeJob records that a task of the job has failed on the machine. No further tasks of the job
-// are placed there.
-func (f *failures) ExcludeJob(id string) { f.excludedJobs[id] = true }
-
-// ExcludesJob reports whether a task of the job has failed on the machine.
-func (f *failures) ExcludesJob(id string) bool { return f.excludedJobs[id] }
+// are placed there for tuning.JobExclusionTime.
+func (f *failures) ExcludeJob(now time.Time, id string) {
+	f.excludedJobs[id] = now.Add(tuning.JobExclusionTime)
+}
 
-// ExcludedJobs returns the IDs of the jobs with a failed task on the machine. The caller must not
-// modify the map.
-func (f *failures) ExcludedJobs() map[string]bool { return f.excludedJobs }
+// EndExclusions ends the exclusions of jobs whose time has passed, and the quarantine of a machine that
+// still runs tasks after tuning.QuarantineTime. Without an end, a job could wait forever beside a
+// machine with free resources if the cloud has no other one.
+func (m *Machine) EndExclusions(now time.Time) {
+	for id, until := range m.excludedJobs {
+		if !now.Before(until) {
+			delete(m.excludedJobs, id)
+		}
+	}
+	if m.isFaulty() && now.Sub(m.quarantinedAt) >= tuning.QuarantineTime {
+		clear(m.countedFailedJobs)
+	}
+}
 
 // CountFailedJob counts a failed job against the machine. It returns true if the machine is
 // quarantined as a result, which means that it is cordoned as faulty.
-func (f *failures) CountFailedJob(id string) (quarantined bool) {
+func (f *failures) CountFailedJob(now time.Time, id string) (quarantined bool) {
 	wasFaulty := f.isFaulty()
 	f.countedFailedJobs[id] = true
-	return f.isFaulty() && !wasFaulty
+	quarantined = f.isFaulty() && !wasFaulty
+	if quarantined {
+		f.quarantinedAt = now
+	}
+	return quarantined
 }
 
 // UncountFailedJob removes a job from those that count against the machine. It is called for a job
--- a/internal/machines/lease.go
+++ b/internal/machines/lease.go
@@ -60,10 +60,15 @@
 // ExpireSession marks the agent's current session as expired. Its messages are stale from now on.
 func (m *Machine) ExpireSession() { m.expiredEpoch = m.epoch }
 
+// IsCapacity reports whether the machine counts as capacity: new tasks may be assigned to it now, or
+// as soon as it has booted, has been reconciled, and has not refused a task for a few seconds.
+func (m *Machine) IsCapacity(now time.Time, t *Timing) bool {
+	return !m.releaseBegun && !m.IsCordoned() && (!m.joined || !m.HeartbeatOverdue(now, t))
+}
+
 // IsSchedulable reports whether new tasks may be assigned to the machine.
 func (m *Machine) IsSchedulable(now time.Time, t *Timing) bool {
-	return m.joined && m.reconciled && !m.releaseBegun && !m.IsCordoned() &&
-		m.total.CPUs > 0 && !now.Before(m.backoffUntil) && !m.HeartbeatOverdue(now, t)
+	return m.IsCapacity(now, t) && m.joined && m.reconciled && m.total.CPUs > 0 && !now.Before(m.backoffUntil)
 }
 
 // RequireRelease sets the time after which ShouldBeReleased returns true.
--- a/internal/machines/machine.go
+++ b/internal/machines/machine.go
@@ -39,7 +39,7 @@
 		Spot:        spot,
 		lifecycle:   lifecycle{provisionedAt: provisionedAt, idleSince: provisionedAt},
 		capacity:    capacity{snapshotOutdated: true},
-		failures:    failures{excludedJobs: map[string]bool{}, countedFailedJobs: map[string]bool{}},
+		failures:    failures{excludedJobs: map[string]time.Time{}, countedFailedJobs: map[string]bool{}},
 		imageSeenAt: map[string]time.Time{},
 	}
 }
@@ -67,7 +67,11 @@
 // RecordImage records that the machine has the image at the given time.
 func (m *Machine) RecordImage(now time.Time, image string) { m.imageSeenAt[image] = now }
 
-// PlacementView returns the properties of the machine that PendingJob.CanRunOn checks.
-func (m *Machine) PlacementView() *placement.Machine {
-	return &placement.Machine{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Capacity: m.total}
+// Host returns the properties of the machine that decide which tasks may be placed on it. The result
+// shares the machine's excluded jobs.
+func (m *Machine) Host() placement.Host {
+	return placement.Host{
+		Type: m.Type, Zone: m.Zone, Spot: m.Spot, Capacity: m.total,
+		Tasks: len(m.attempts), ExcludedJobs: m.excludedJobs,
+	}
 }
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -148,7 +148,7 @@
 	h := (*candidateHeap)(&j.candidates)
 	for len(j.candidates) > 0 {
 		top := &j.candidates[0]
-		if top.version == top.machine.version && (!zoneMatters || j.CanRunOn(top.machine)) {
+		if top.version == top.machine.version && (!zoneMatters || j.CanRunOn(&top.machine.Host)) {
 			return top
 		}
 		if c, ok := p.score(j, top.machine); ok {
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -301,7 +301,7 @@
 func (p *pass) fitsNow(j *PendingJob) bool {
 	found := false
 	p.forEachAvailableMachine(func(m *Machine) bool {
-		found = m.Free.Fits(j.Request) && j.CanRunOn(m) && !m.ExcludedJobs[j.JobID] && !m.isReservedForHigherPriority(j)
+		found = m.Free.Fits(j.Request) && m.isEligible(j)
 		return !found
 	})
 	return found
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -67,7 +67,7 @@
 	if m.isReservedForHigherPriority(j) && j.AgedS == 0 {
 		return false
 	}
-	return len(m.PlacedTasks) < tuning.MaxTasksPerMachine && !m.ExcludedJobs[j.JobID] && j.CanRunOn(m)
+	return j.CanRunOn(&m.Host)
 }
 
 // score returns the machine as a candidate for the job, or false if no task of the job
--- a/internal/placement/snapshot.go
+++ b/internal/placement/snapshot.go
@@ -18,23 +18,18 @@
 // the clock of the pass, in seconds. Unlike remaining durations, they stay valid, so
 // the next pass can reuse the snapshot if nothing has changed on the machine.
 type Machine struct {
+	Host
 	ID          string
-	Type        string
-	Zone        string
-	Spot        bool
-	Capacity    Resources // in total
 	Free        Resources // not used by placed tasks
 	FetchGBPerS float64   // bandwidth of image fetches, zero if unknown
 	// Price decides between machines with the same speedup. Cheaper ones are
 	// preferred, so that expensive ones become idle and can be released.
 	Price float64
-	// PlacedTasks are sorted by EndS.
+	// PlacedTasks are sorted by EndS. Host.Tasks is their number.
 	PlacedTasks []PlacedTask
 	// Images maps each image to the time at which its fetch ends, or to zero if it is
 	// cached.
 	Images map[string]float64
-	// ExcludedJobs holds the IDs of jobs whose tasks failed on the machine.
-	ExcludedJobs map[string]bool
 	// HasReservation: the machine is reserved for jobs of ReservedRank or a higher
 	// priority.
 	HasReservation bool
@@ -57,6 +52,7 @@
 
 // addPlacedTask inserts a task into PlacedTasks, which stays sorted.
 func (m *Machine) addPlacedTask(task PlacedTask) {
+	m.Tasks++
 	i := sort.Search(len(m.PlacedTasks), func(i int) bool { return m.PlacedTasks[i].EndS > task.EndS })
 	m.PlacedTasks = slices.Insert(m.PlacedTasks, i, task)
 }
@@ -119,35 +115,6 @@
 	unplaceable bool
 }
 
-// CanRunOn reports whether another task of the job may run on the machine, given the
-// job's constraints and the machine's type, zone, spot status and total capacity. It
-// doesn't check the free resources.
-func (j *PendingJob) CanRunOn(m *Machine) bool {
-	if m.Spot && !j.AllowsSpot || j.Zone != "" && j.Zone != m.Zone {
-		return false
-	}
-	if len(j.MachineTypes) > 0 && !slices.Contains(j.MachineTypes, m.Type) {
-		return false
-	}
-	if j.OneZone && j.hasTasksOutside(m.Zone) {
-		return false
-	}
-	if j.SpreadZones && j.TasksByZone[m.Zone] >= (j.TotalTasks+1)/2 {
-		return false
-	}
-	return m.Capacity.Fits(j.Request)
-}
-
-// hasTasksOutside reports whether tasks of the job may be running in other zones.
-func (j *PendingJob) hasTasksOutside(zone string) bool {
-	for other, tasks := range j.TasksByZone {
-		if tasks > 0 && other != zone {
-			return true
-		}
-	}
-	return false
-}
-
 // Team contains the resources that a team's tasks use, and the limit of this usage.
 type Team struct {
 	Used, Limit Resources
--- a/internal/preemption/pass.go
+++ b/internal/preemption/pass.go
@@ -18,6 +18,8 @@
 	// expectedFree contains the free capacity that each schedulable machine will have after the
 	// attempts that are stopping or about to end have ended.
 	expectedFree map[*machines.Machine]placement.Resources
+	// hosts contains each schedulable machine with the number of tasks that it will have then.
+	hosts map[*machines.Machine]*placement.Host
 	// teamFreedCPUs contains, by team, the CPUs that these attempts free when they end, minus the
 	// CPUs that the pass has allocated to waiting tasks.
 	teamFreedCPUs map[string]float64
@@ -34,6 +36,7 @@
 		Cluster:       cluster,
 		now:           now,
 		expectedFree:  map[*machines.Machine]placement.Resources{},
+		hosts:         map[*machines.Machine]*placement.Host{},
 		teamFreedCPUs: map[string]float64{},
 		candidates:    map[*machines.Machine][]candidate{},
 	}
@@ -48,6 +51,8 @@
 // addMachine records the expected free capacity of a machine and the candidates on it.
 func (p *pass) addMachine(m *machines.Machine) {
 	p.expectedFree[m] = m.Free()
+	host := m.Host()
+	p.hosts[m] = &host
 	for _, a := range m.Attempts() {
 		switch {
 		case a.IsStopping(), a.State() == machines.Saving, p.endsSoon(a):
@@ -87,9 +92,10 @@
 
 // adjustExpectedFree adds the resources of an attempt that is about to end to the expected free
 // capacity of its machine and its team. With sign -1 it subtracts them again.
-func (p *pass) adjustExpectedFree(a *machines.Attempt, sign float64) {
-	p.expectedFree[a.Machine] = p.expectedFree[a.Machine].Add(a.Job.Request(), sign)
-	p.teamFreedCPUs[a.Job.Team] += a.Job.CPUs * sign
+func (p *pass) adjustExpectedFree(a *machines.Attempt, sign int) {
+	p.expectedFree[a.Machine] = p.expectedFree[a.Machine].Add(a.Job.Request(), float64(sign))
+	p.hosts[a.Machine].Tasks -= sign
+	p.teamFreedCPUs[a.Job.Team] += a.Job.CPUs * float64(sign)
 }
 
 // requestStop requests the stop of a candidate and adds its resources to the expected free capacity.
@@ -147,6 +153,7 @@
 		best.Reserve(p.now, pending.PriorityRank)
 	}
 	p.expectedFree[best] = p.expectedFree[best].Add(pending.Request, -1)
+	p.hosts[best].Tasks++
 	p.teamFreedCPUs[pending.Team] -= pending.Request.CPUs
 	return true
 }
@@ -199,7 +206,7 @@
 	leastCost := math.Inf(1)
 	for _, m := range p.Machines.All() {
 		free, ok := p.expectedFree[m]
-		if !ok || m.ExcludesJob(pending.JobID) || !pending.CanRunOn(m.PlacementView()) {
+		if !ok || !pending.CanRunOn(p.hosts[m]) {
 			continue
 		}
 		if free.Fits(pending.Request) {
--- a/internal/scaling/plan_input.go
+++ b/internal/scaling/plan_input.go
@@ -56,12 +56,11 @@
 // and it isn't a replacement that a drain waits for.
 func (s *Scaler) toPlannerMachine(now time.Time, m *machines.Machine) autoscale.Machine {
 	snapshot := autoscale.Machine{
+		Host:        m.Host(),
 		ID:          m.ID,
-		Offering:    autoscale.Offering{Type: m.Type, Zone: m.Zone, Spot: m.Spot},
-		Capacity:    m.Capacity(),
 		Free:        m.Free(),
 		Price:       s.cluster.Catalogue.Price(m),
-		Schedulable: !m.IsCordoned() && (!m.HasJoined() || !s.cluster.IsHeartbeatOverdue(now, m)),
+		Schedulable: s.cluster.IsCapacity(now, m),
 		MayBeReleased: len(m.Attempts()) == 0 && m.HasJoined() && m.IsReconciled() &&
 			now.Sub(m.ProvisionedAt()) >= tuning.MinimumBillingTime && !s.cluster.IsReplacement(m.ID),
 		IdleFor: m.IdleFor(now),
@@ -86,7 +85,8 @@
 		capacity := placement.MachineCapacity(t)
 		for range p.Count {
 			list = append(list, autoscale.Machine{
-				Offering: p.Offering, Capacity: capacity, Free: capacity, Schedulable: true, BootRemainingS: t.BootTimeS,
+				Host: placement.Host{Type: p.Offering.Type, Zone: p.Offering.Zone, Spot: p.Offering.Spot, Capacity: capacity},
+				Free: capacity, Schedulable: true, BootRemainingS: t.BootTimeS,
 			})
 		}
 	}
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -44,8 +44,9 @@
 	Catalogue *machines.Catalogue
 	// Demand returns the tasks that wait for capacity.
 	Demand func(now time.Time) []autoscale.Demand
-	// IsHeartbeatOverdue reports whether a machine's heartbeat is overdue.
-	IsHeartbeatOverdue func(now time.Time, m *machines.Machine) bool
+	// IsCapacity reports whether a machine counts as capacity for new tasks, see
+	// machines.Machine.IsCapacity.
+	IsCapacity func(now time.Time, m *machines.Machine) bool
 	// RemainingS returns the estimated remaining run time of an attempt, in seconds.
 	RemainingS func(now time.Time, a *machines.Attempt) float64
 	// IsReplacement reports whether a machine was provisioned as a replacement for the current batch
--- a/internal/tuning/placement.go
+++ b/internal/tuning/placement.go
@@ -30,9 +30,9 @@
 	// PlacementMaxQueuedTasks bounds the tasks that a pass queues on busy machines. The
 	// next pass assigns queued tasks anew, so queueing more of them repeats the same work.
 	PlacementMaxQueuedTasks = 128
-	// MaxTasksPerMachine bounds the running and queued tasks of a machine. This keeps its
-	// part of a start record far below the value limit of the key-value store.
-	MaxTasksPerMachine = 128
+	// MaxTasksPerMachine bounds the running and queued tasks of a machine. A heartbeat lists
+	// all of them in a body of at most 64 KiB, in up to 100 bytes each, beside exited ones.
+	MaxTasksPerMachine = 400
 )
 
 // The order of jobs.
@@ -89,6 +89,13 @@
 	// RefusedTaskBackoff is how long a machine gets no new starts after it refused one
 	// for lack of capacity.
 	RefusedTaskBackoff = 3 * time.Second
+	// JobExclusionTime is how long a job whose task has failed on a machine isn't placed
+	// there, even if no other machine can run it. Operators require that no job waits for
+	// 90 s while a machine that fits has capacity.
+	JobExclusionTime = 60 * time.Second
+	// QuarantineTime is how long a quarantined machine that still runs tasks gets no new
+	// ones. One without tasks is released instead.
+	QuarantineTime = 60 * time.Second
 	// FaultyMachineJobs is the number of different jobs whose tasks must fail in
 	// succession on a machine before it is quarantined as faulty.
 	FaultyMachineJobs = 2
