--- a/internal/simulation/helpers_test.go
+++ b/internal/simulation/helpers_test.go
@@ -111,8 +111,10 @@
 	return sim
 }
 
-// forEachSeed runs a parallel subtest for each seed from 0 to count-1.
+// forEachSeed runs a parallel subtest for each seed from 0 to count-1. The test itself also runs in
+// parallel with others that call forEachSeed.
 func forEachSeed(t *testing.T, count uint64, run func(t *testing.T, seed uint64)) {
+	t.Parallel()
 	for seed := range count {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
