Simulation: stops on machines of a cancelled drain are no evictions

Cause: the check of the drain budgets counted every stop on a machine that ever was in a cordoned batch as an eviction, also hours after the drain's cancellation. A budget limits the evictions of drains (docs/drain.md), so this is allowed.

Change: a charged attempt always counts. An uncharged stop counts unless the drain that cordoned its machine was cancelled more than a lease ago, the longest time for which a stop can be on its way.

--- a/internal/simulation/drain_budgets.go
+++ b/internal/simulation/drain_budgets.go
@@ -8,13 +8,15 @@
 )
 
 // DrainBudgetChecker checks that drains stay within the disruption budgets, from the tasks that the
-// agents execute. The stop of a running task counts as an eviction if its machine is, or ever was,
-// in a cordoned batch of a drain.
+// agents execute. The stop of a running task counts as an eviction if it was charged, or if its machine
+// is, or ever was, in a cordoned batch of a drain. Machines of a cancelled drain are used as any others,
+// so uncharged stops there count for another stopDelay only, in which a stop may be on its way.
 type DrainBudgetChecker struct {
 	Budgets *drain.Budgets
 
-	cordoned    map[string]bool // machines that are or were in a cordoned batch
-	charged     map[uint64]bool // attempts in stored charges
+	cordonedBy  map[string]string    // drains by the machines that are or were in their cordoned batches
+	cancelledAt map[string]time.Time // cancelled drains, and when that was stored
+	charged     map[uint64]bool      // attempts in stored charges
 	evictions   []eviction
 	unavailable map[string]evictedTask // evicted tasks by name, until they run again
 }
@@ -35,10 +37,23 @@
 // NewDrainBudgetChecker returns a checker of the given budgets.
 func NewDrainBudgetChecker(budgets *drain.Budgets) *DrainBudgetChecker {
 	return &DrainBudgetChecker{
-		Budgets: budgets, cordoned: map[string]bool{}, charged: map[uint64]bool{}, unavailable: map[string]evictedTask{},
+		Budgets: budgets, cordonedBy: map[string]string{}, cancelledAt: map[string]time.Time{}, charged: map[uint64]bool{}, unavailable: map[string]evictedTask{},
 	}
 }
 
+// stopDelay is the maximum time from the decision of a stop to its execution: a lease.
+const stopDelay = 15 * time.Second
+
+// IsEviction reports whether the stop of a running attempt on a machine counts as an eviction.
+func (c *DrainBudgetChecker) IsEviction(now time.Time, machine string, attempt uint64) bool {
+	if c.charged[attempt] {
+		return true
+	}
+	drainName, cordoned := c.cordonedBy[machine]
+	cancelledAt, cancelled := c.cancelledAt[drainName]
+	return cordoned && (!cancelled || now.Sub(cancelledAt) <= stopDelay)
+}
+
 // RecordEviction records that a drain stopped a running task.
 func (c *DrainBudgetChecker) RecordEviction(now time.Time, team, task string, attempt uint64, lostS float64) {
 	c.evictions = append(c.evictions, eviction{now, team, lostS})
--- a/internal/simulation/drain_monitor.go
+++ b/internal/simulation/drain_monitor.go
@@ -47,7 +47,7 @@
 // has cordoned the machine.
 func (m *drainMonitor) recordStop(a *agentProcess, task *Task, saves bool) {
 	sim := m.sim
-	if m.budgets == nil || !m.budgets.cordoned[a.ID] || sim.Invariants.IsTaskEnded(task.Name) {
+	if m.budgets == nil || !m.budgets.IsEviction(sim.now, a.ID, task.Attempt) || sim.Invariants.IsTaskEnded(task.Name) {
 		return
 	}
 	if a.ReclaimNotice != nil && !m.budgets.charged[task.Attempt] {
@@ -103,14 +103,19 @@
 		m.sim.fail(err)
 		return
 	}
-	if record.State == drain.Paused {
+	switch _, known := m.budgets.cancelledAt[name]; {
+	case record.State == drain.Paused:
 		m.sim.Observed[DrainPaused]++
+	case record.State == drain.Cancelled && !known:
+		m.budgets.cancelledAt[name] = m.sim.now
+	case record.State != drain.Cancelled:
+		delete(m.budgets.cancelledAt, name) // a later drain may have the name
 	}
 	if record.Batch == nil || !record.Batch.Cordoned {
 		return
 	}
 	for _, machine := range record.Batch.Machines {
-		m.budgets.cordoned[machine] = true
+		m.budgets.cordonedBy[machine] = name
 	}
 }
 
