Start a task of a restarted machine elsewhere only after the machine's release

Its new agent's heartbeats are refused until their numbers pass those of the earlier agent, and then taken for that agent's. Their list lacks the running task, which is started elsewhere, and a copy of the answered direct call starts it on the restarted machine, too.

Cause: epoch and sequence number were the only proof that an agent is the known one, a list without a task was proof that the task is gone, and the expiry of the known agent's lease was proof although a new agent's lease may be younger.

Change: agentIdentity and agentVerifier. A message with a lower fencing token than an earlier one of the same agent, a list without a task that an earlier list of the session contained, and a reply that is not newer than its call prove a new agent. Its machine gets no responses and is released, and only the release frees its tasks. After two stale heartbeats in a row the agent is called, without commands and with a raised token: the reply shows who it is, and copies are refused from then on. A stale heartbeat postpones the expiry of the lease. An answer that can't be read no longer rules out a late start.

The agent of TestTeamAtLimitPreemptsOwnTasks lists a stopped task as exited, as the protocol says.

--- a/internal/leader/direct_calls.go
+++ b/internal/leader/direct_calls.go
@@ -16,8 +16,8 @@
 	Addr    string // the agent's address
 	Request wire.CommandRequest
 
-	startedAttempts []*machines.Attempt // attempts whose start is in the request
-	newestSequence  uint64              // sequence number of the agent's newest message when the call was made
+	startedAttempts []*machines.Attempt      // attempts whose start is in the request
+	newestBefore    machines.MessagePosition // of the agent's newest message when the call was made
 }
 
 // DirectCallOutcome is the outcome of a direct call.
@@ -50,11 +50,11 @@
 	for ; handled < len(l.directCalls.queue) && l.directCalls.inFlight < l.maxCallsInFlight(); handled++ {
 		m := l.directCalls.queue[handled]
 		m.MarkCallDequeued()
-		if !m.CanBeCalled(now, &l.timing) || l.machines.Get(m.ID) != m {
-			// If the machine still exists, the commands are sent in the response to its next heartbeat.
+		if l.machines.Get(m.ID) != m {
 			continue
 		}
-		if call := l.newDirectCall(now, m); len(call.Request.Commands) > 0 {
+		// If there is no call now, the commands are sent in the response to the machine's next heartbeat.
+		if call := l.nextCallTo(now, m); call != nil {
 			m.BeginCall()
 			l.directCalls.inFlight++
 			calls = append(calls, call)
@@ -67,15 +67,42 @@
 	return calls
 }
 
+// nextCallTo returns the call that is to be made to a machine now, or nil.
+func (l *Leader) nextCallTo(now time.Time, m *machines.Machine) *DirectCall {
+	switch {
+	case m.CanBeProbed(now):
+		return l.newProbe(m)
+	case m.CanBeCalled(now, &l.timing):
+		if call := l.newDirectCall(now, m); len(call.Request.Commands) > 0 {
+			return call
+		}
+	}
+	return nil
+}
+
+// newProbe returns a call without commands, whose fencing token is higher than that of all direct calls
+// with starts before.
+func (l *Leader) newProbe(m *machines.Machine) *DirectCall {
+	l.fenceDirectStarts(m) // fails only while no token is reserved; the present one voids those of earlier terms
+	call := l.newCallTo(m)
+	call.Request.AgentEpoch = m.ProbeEpoch()
+	return call
+}
+
+// newCallTo returns a call to a machine without commands.
+func (l *Leader) newCallTo(m *machines.Machine) *DirectCall {
+	return &DirectCall{
+		Machine:      m.ID,
+		Addr:         m.Addr,
+		Request:      wire.CommandRequest{FencingToken: m.FencingToken(l.term), AgentEpoch: m.Epoch(), Commands: []wire.Command{}},
+		newestBefore: m.NewestPosition(),
+	}
+}
+
 // newDirectCall returns a call to a machine. It contains the machine's stops that no direct call has
 // contained yet, and its starts that were sent neither by a direct call nor in a response.
 func (l *Leader) newDirectCall(now time.Time, m *machines.Machine) *DirectCall {
-	call := &DirectCall{
-		Machine:        m.ID,
-		Addr:           m.Addr,
-		Request:        wire.CommandRequest{FencingToken: m.FencingToken(l.term), AgentEpoch: m.Epoch()},
-		newestSequence: m.Sequence(),
-	}
+	call := l.newCallTo(m)
 	schedulable := m.IsSchedulable(now, &l.timing)
 	for _, a := range m.Attempts() {
 		if a.TryMarkDirectStopSent() {
@@ -115,7 +142,8 @@
 // or nil without a reply. The reply does not renew the machine's lease, only a periodic heartbeat
 // does.
 func (l *Leader) FinishDirectCall(now time.Time, call *DirectCall, outcome DirectCallOutcome, h *wire.Heartbeat) {
-	if outcome != DirectCallUncertain {
+	replied := outcome == DirectCallReplied && h != nil && h.Machine == call.Machine
+	if replied || outcome == DirectCallNotDelivered {
 		// The starts were executed, refused or not delivered, so they can no longer arrive late.
 		for _, a := range call.startedAttempts {
 			a.RuleOutDirectStart()
@@ -129,24 +157,13 @@
 	m.EndCall()
 	// Commands that became due during the call have not been sent, so the machine is queued again.
 	l.directCalls.enqueue(m)
-	if outcome != DirectCallReplied {
+	if !replied {
 		m.DelayCalls(now.Add(tuning.DirectCallBackoff))
 		return
 	}
-	if h == nil || h.Machine != m.ID {
-		return
-	}
-	if h.AgentEpoch < call.Request.AgentEpoch || h.AgentEpoch == call.Request.AgentEpoch && h.Sequence <= call.newestSequence {
-		// The reply is not newer than all messages of the known agent before the call. So it comes
-		// from a new agent, which has replaced the known one and counts its epochs from the start
-		// again. Only the release of the machine proves that the tasks of the known agent have ended.
-		l.log.Info().Str("machine", m.ID).Msg("worker replaced, releasing machine")
-		m.Cordon(machines.CordonAgentReplaced)
-		return
-	}
-	if !l.fencingTokens.contains(h.FencingToken) || m.IsStale(h) {
+	if !l.verifier.acceptsReply(m, h, call.newestBefore) || !l.fencingTokens.contains(h.FencingToken) {
 		return
 	}
-	m.AdvanceSession(h.AgentEpoch, h.Sequence)
+	m.AdvanceSession(h)
 	l.reconcileTasks(now, m, h, false) // not a periodic heartbeat
 }
--- a/internal/leader/heartbeat.go
+++ b/internal/leader/heartbeat.go
@@ -41,6 +41,9 @@
 	if m == nil {
 		m = l.addMachine(now, h.Machine, h.Type, h.Zone, h.Addr, h.Spot)
 	}
+	if !l.verifier.accepts(now, m, h) {
+		return response, HeartbeatRejected
+	}
 	if m.IsOvertakenByDirectReply(h) {
 		// The agent sent this heartbeat before its reply to a direct call, but the reply arrived
 		// first. The reply is newer, so the task list of this heartbeat is not applied. The agent
@@ -48,16 +51,10 @@
 		m.RenewLease(now, h.Sequence)
 		return l.newHeartbeatResponse(m, l.stopCommands(h)), HeartbeatApplied
 	}
-	if m.IsStale(h) {
-		// A stale heartbeat does not show the current tasks, so it changes no attempt and renews
-		// no lease.
-		m.RecordStaleHeartbeat(now)
-		return response, HeartbeatRejected
-	}
 	if responsesLost := m.DetectLostResponses(now, h.AgentEpoch, &l.timing); responsesLost {
 		l.log.Info().Str("machine", m.ID).Msg("machine does not receive responses")
 	}
-	m.AdvanceSession(h.AgentEpoch, h.Sequence)
+	m.AdvanceSession(h)
 	if l.mayReceiveLateStart(now, m) {
 		return response, HeartbeatRejected
 	}
@@ -68,7 +65,9 @@
 		// after it has seen this term.
 		return l.newHeartbeatResponse(m, l.stopCommands(h)), HeartbeatApplied
 	}
-	l.reconcileTasks(now, m, h, true) // a periodic heartbeat
+	if accepted := l.reconcileTasks(now, m, h, true /* periodic */); !accepted {
+		return response, HeartbeatRejected
+	}
 	l.checkpointBeforeReclaim(now, m)
 	commands := l.heartbeatCommands(m, h, holdsLeaderLease) // may raise the machine's fencing token
 	return l.newHeartbeatResponse(m, commands), HeartbeatApplied
--- a/internal/leader/placement_test.go
+++ b/internal/leader/placement_test.go
@@ -51,6 +51,8 @@
 					tasksByMachine[m] = append(tasksByMachine[m], wire.TaskStatus{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning})
 				case wire.OpStop:
 					stops += c.Task + " "
+					tasksByMachine[m] = []wire.TaskStatus{{Task: c.Task, Attempt: c.Attempt, State: wire.TaskExited, ExitReason: wire.ExitStopped}}
+				case wire.OpForget:
 					tasksByMachine[m] = nil
 				}
 			}
--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -14,13 +14,17 @@
 // the heartbeat is the agent's reply to a direct call. If the list in a periodic heartbeat lacks a task
 // whose start the leader sent in its response to an earlier heartbeat, the start was not executed. The
 // list in a reply does not prove that, because the agent may have sent the reply before the leader's
-// response arrived.
-func (l *Leader) reconcileTasks(now time.Time, m *machines.Machine, h *wire.Heartbeat, periodic bool) {
+// response arrived. It returns false, and releases no attempt, if the list comes from an agent that has
+// replaced the known one.
+func (l *Leader) reconcileTasks(now time.Time, m *machines.Machine, h *wire.Heartbeat, periodic bool) (accepted bool) {
 	l.taskListNumber++
 	m.ClearExited()
 	for i := range h.Tasks {
 		l.applyListedTask(now, m, &h.Tasks[i])
 	}
+	if !l.verifier.acceptsTaskList(m, h, l.taskListNumber) {
+		return false
+	}
 	if periodic {
 		l.recordIneffectiveResponse(now, m)
 	}
@@ -29,6 +33,7 @@
 		l.schedulingPassRequested = true
 		l.log.Debug().Str("machine", m.ID).Int("tasks", len(h.Tasks)).Msg("machine reconciled")
 	}
+	return true
 }
 
 // applyListedTask applies one entry of a machine's task list.
--- a/internal/machines/attempt.go
+++ b/internal/machines/attempt.go
@@ -30,6 +30,7 @@
 	// taskListNumber is the number of the last task list that contained the attempt. The leader
 	// numbers the task lists of all machines in the order in which it applies them.
 	taskListNumber uint64
+	listedInEpoch  uint64    // epoch of the agent in that task list
 	createdAt      time.Time // see CreatedAt
 	runningAt      time.Time // when the machine first reported it as running, or zero
 	startDelivery
@@ -117,7 +118,7 @@
 // the attempt's own number differs, it is replaced: the agent refuses a newer attempt while it has
 // another one of the same task, so only the listed attempt can be on the machine.
 func (a *Attempt) MarkInTaskList(listNumber, number uint64) {
-	a.taskListNumber, a.number = listNumber, number
+	a.taskListNumber, a.number, a.listedInEpoch = listNumber, number, a.Machine.epoch
 }
 
 // MarkExitInTaskList records that a task list contains the attempt as exited.
--- a/internal/machines/direct.go
+++ b/internal/machines/direct.go
@@ -13,7 +13,7 @@
 // If not, the machine's commands are sent in the response to its next heartbeat.
 func (m *Machine) CanBeCalled(now time.Time, t *Timing) bool {
 	return !m.callInProgress && m.Addr != "" && !now.Before(m.callAfter) && m.reconciled &&
-		!m.IsCordonedFor(CordonUnresponsive) && !m.HeartbeatOverdue(now, t)
+		!m.IsCordonedFor(CordonUnresponsive|CordonAgentReplaced) && !m.HeartbeatOverdue(now, t)
 }
 
 // TryQueueCall marks the machine as queued for a call. It returns false if the
--- a/internal/machines/heartbeat.go
+++ b/internal/machines/heartbeat.go
@@ -22,13 +22,14 @@
 	// firstStaleAt is when the first of them arrived.
 	staleHeartbeats int
 	firstStaleAt    time.Time
+	lastStaleAt     time.Time // when the latest stale heartbeat arrived, or zero
 }
 
 // Epoch returns the epoch of the agent's current session.
 func (s *agentSession) Epoch() uint64 { return s.epoch }
 
-// Sequence returns the sequence number of the session's newest message.
-func (s *agentSession) Sequence() uint64 { return s.sequence }
+// NewestPosition returns the position of the newest message.
+func (s *agentSession) NewestPosition() MessagePosition { return MessagePosition{s.epoch, s.sequence} }
 
 // SinceHeartbeat returns the time since the newest heartbeat was applied.
 func (s *agentSession) SinceHeartbeat(now time.Time) time.Duration { return now.Sub(s.heartbeatAt) }
@@ -52,9 +53,10 @@
 	s.heartbeatAt, s.leaseRenewedAt = now, now
 }
 
-// RecordStaleHeartbeat counts a stale heartbeat. For the first one after the newest heartbeat, it
-// also records the time.
+// RecordStaleHeartbeat counts a stale heartbeat and records the times of the first one after the newest
+// heartbeat and of the latest one.
 func (s *agentSession) RecordStaleHeartbeat(now time.Time) {
+	s.lastStaleAt = now
 	if s.staleHeartbeats++; s.staleHeartbeats == 1 {
 		s.firstStaleAt = now
 	}
@@ -81,13 +83,13 @@
 	return m.reclaimAt.Sub(now), !m.reclaimAt.IsZero()
 }
 
-// AdvanceSession records the epoch and sequence number of a message. The agent executes no starts
+// AdvanceSession records the epoch, sequence number and fencing token of a message. The agent executes no starts
 // of earlier sessions. So when a message begins a new session:
 //   - starts sent by direct calls can no longer arrive late
 //   - a required release is cancelled, unless the machine is cordoned for consolidation or a late
 //     start
-func (m *Machine) AdvanceSession(epoch, sequence uint64) {
-	if epoch > m.epoch {
+func (m *Machine) AdvanceSession(h *wire.Heartbeat) {
+	if h.AgentEpoch > m.epoch {
 		m.lastPeriodicSequence = 0
 		if !m.IsCordonedFor(CordonConsolidated | CordonLateStart) {
 			m.releaseBy = time.Time{}
@@ -96,5 +98,6 @@
 			a.RuleOutDirectStart()
 		}
 	}
-	m.epoch, m.sequence = epoch, sequence
+	m.epoch, m.sequence = h.AgentEpoch, h.Sequence
+	m.recordToken(h)
 }
--- a/internal/machines/lease.go
+++ b/internal/machines/lease.go
@@ -39,12 +39,18 @@
 
 // HasLeaseExpired reports whether the lease has expired for certain, and thus all tasks of the
 // machine have ended. It is false if a new agent has replaced the earlier one: then only the release
-// of the machine proves that the tasks of the earlier agent have ended. It is also false before
-// t.InheritedTasksEnd for a machine that is not reconciled, as tasks of earlier leaders may run there.
+// of the machine proves that no task runs there. A stale heartbeat may come from a new agent, whose
+// first lease began before it was sent. It is also false before t.InheritedTasksEnd for a machine that
+// is not reconciled, as tasks of earlier leaders may run there.
 func (m *Machine) HasLeaseExpired(now time.Time, t *Timing) bool {
 	if m.IsCordonedFor(CordonAgentReplaced) || !m.reconciled && now.Before(t.InheritedTasksEnd) {
 		return false
 	}
+	return m.hasKnownLeaseExpired(now, t) && (m.lastStaleAt.IsZero() || now.Sub(m.lastStaleAt) > t.LeaseCertainlyExpiredAfter)
+}
+
+// hasKnownLeaseExpired reports whether the lease of the known agent has expired for certain.
+func (m *Machine) hasKnownLeaseExpired(now time.Time, t *Timing) bool {
 	return m.leaseRenewedAt.IsZero() || now.Sub(m.leaseRenewedAt) > t.LeaseCertainlyExpiredAfter
 }
 
@@ -105,7 +111,7 @@
 		// Its heartbeats never carry this term's token, so it doesn't get this leader's
 		// responses. Only its release proves that the tasks it may run have ended.
 		return true
-	case m.staleHeartbeats >= tuning.MaxStaleHeartbeats && m.HasLeaseExpired(now, t) && now.Sub(m.firstStaleAt) > t.HeartbeatTimeout:
+	case m.staleHeartbeats >= tuning.MaxStaleHeartbeats && m.hasKnownLeaseExpired(now, t) && (m.reconciled || !now.Before(t.InheritedTasksEnd)) && now.Sub(m.firstStaleAt) > t.HeartbeatTimeout:
 		// The latest heartbeats are all stale. They are either delayed copies, or come from a
 		// new agent that counts its epochs from the start again. The leader can't tell which, and
 		// must not take a new agent for the old one, so the machine is replaced.
--- a/internal/machines/machine.go
+++ b/internal/machines/machine.go
@@ -16,6 +16,7 @@
 	Spot                 bool
 	lifecycle
 	agentSession
+	agentIdentity
 	responseDelivery
 	directCalls
 	startFence
--- a/internal/simulation/agent.go
+++ b/internal/simulation/agent.go
@@ -20,6 +20,7 @@
 	CheckpointSaved bool
 	StateEndsAt     time.Time
 	StartedAt       time.Time // when it began to run, after its image was fetched
+	Fails           bool      // it fails when it ends
 }
 
 // IsExecuting reports whether the task runs or saves its progress. The protocol's invariants count
@@ -46,6 +47,8 @@
 	Faulty bool
 	// FailsJob, if set, reports whether a job fails on every machine.
 	FailsJob func(id string) bool
+	// DrawFailure, if set, draws whether an attempt that starts now fails when it ends.
+	DrawFailure func() bool
 	// OnStop, if set, is called before a running task is stopped.
 	OnStop func(t *Task, saves bool)
 
@@ -105,6 +108,10 @@
 	case wire.TaskFetching:
 		a.imageFetched(now, t)
 	case wire.TaskRunning:
+		if t.Fails {
+			t.exit(wire.ExitError)
+			return
+		}
 		t.exit(wire.ExitDone)
 		a.Completed[t.Name] = true
 	case wire.TaskSaving:
@@ -125,6 +132,7 @@
 		t.exit(wire.ExitError)
 	default:
 		t.State, t.StartedAt, t.StateEndsAt = wire.TaskRunning, now, now.Add(a.remainingRunTime(t.Name, job))
+		t.Fails = a.DrawFailure != nil && a.DrawFailure()
 	}
 }
 
--- a/internal/simulation/agent_heartbeats.go
+++ b/internal/simulation/agent_heartbeats.go
@@ -143,6 +143,7 @@
 	}
 	h.finished = true
 	a.inFlight = false
+	a.answered = true
 	a.HandleHeartbeatResponse(h.sim.now, h.sentAt, h.message.AgentEpoch, response)
 }
 
--- a/internal/simulation/fault_injection.go
+++ b/internal/simulation/fault_injection.go
@@ -168,6 +168,10 @@
 		for i := range 10 {
 			sim.after(time.Duration(i)*sim.between(11_000, 13_000), func() { f.CrashLeader(f.drawDownTime()) })
 		}
+	case FailoversSecondsApart:
+		for i := range 3 {
+			sim.after(time.Duration(i)*sim.between(1000, 4000), func() { f.CrashLeader(sim.between(50, 300)) })
+		}
 	}
 }
 
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -41,7 +41,7 @@
 	MachineFails
 	// SpotReclaimed: spot machines are reclaimed after a notice.
 	SpotReclaimed
-	// AgentReplaced: a new agent without the state of the old one starts on the same machine.
+	// AgentReplaced: a machine restarts, in part twice. Its new agent has no tasks.
 	AgentReplaced
 	// MachineHeartbeatsLost: a machine's heartbeats are lost, direct calls to it arrive.
 	MachineHeartbeatsLost
@@ -59,7 +59,10 @@
 	OutageAfterCancellation
 	// RepeatedFailovers: the leader crashes ten times in about two minutes.
 	RepeatedFailovers
-	lastServiceFault = RepeatedFailovers
+	// FailoversSecondsApart: the leader crashes three times, one to four seconds apart, and its process
+	// restarts at once.
+	FailoversSecondsApart
+	lastServiceFault = FailoversSecondsApart
 )
 
 // Faults of messages, and unfavourably timed requests of users.
--- a/internal/simulation/observations.go
+++ b/internal/simulation/observations.go
@@ -35,6 +35,8 @@
 	HeartbeatInGracePeriod Observation = "heartbeat in the grace period"
 	// DirectCallRepeated: a copy of an answered direct call reached its agent.
 	DirectCallRepeated Observation = "direct call repeated"
+	// DirectCallToNewAgent: a direct call reached an agent that has replaced the one that it was sent to.
+	DirectCallToNewAgent Observation = "direct call to a new agent"
 	// HeartbeatLost: an agent's heartbeat reached no controller.
 	HeartbeatLost Observation = "heartbeat lost"
 	// BusyMachinePartitioned: a machine with tasks was partitioned.
--- a/internal/simulation/random_faults_test.go
+++ b/internal/simulation/random_faults_test.go
@@ -50,7 +50,14 @@
 		"partitioned zones": {kinds: []simulation.Fault{simulation.ZonePartitioned, simulation.NodeCrash}},
 		"responses lost":    {kinds: []simulation.Fault{simulation.MachineResponsesLost}},
 		"replaced agents":   {kinds: []simulation.Fault{simulation.AgentReplaced, simulation.MachinePartitioned}},
-		"flapping nodes":    {kinds: []simulation.Fault{simulation.NodeCrashLoop, simulation.AllNodesCrash}},
+		// Guards against ran_twice: a restarted machine's agent executes copies of direct calls to the earlier one.
+		"copies to replaced agents": {
+			[]simulation.Fault{simulation.AgentReplaced, simulation.DirectCallsDuplicated, simulation.MachineHeartbeatsLost, simulation.FailoversSecondsApart},
+			[]simulation.Observation{simulation.DirectCallToNewAgent},
+		},
+		// Guards against quota: records of starts and completions of leaders that end within seconds.
+		"failovers seconds apart": {kinds: []simulation.Fault{simulation.FailoversSecondsApart, simulation.MachineResponsesLost}},
+		"flapping nodes":          {kinds: []simulation.Fault{simulation.NodeCrashLoop, simulation.AllNodesCrash}},
 		// Guards against ran_twice: an agent executes a copy of a direct call whose tasks it has forgotten.
 		"copied direct calls": {
 			[]simulation.Fault{simulation.DirectCallsDuplicated, simulation.NodeCrash},
--- a/internal/tuning/workers.go
+++ b/internal/tuning/workers.go
@@ -60,6 +60,10 @@
 	// had no effect after which a machine is cordoned. It is above one, because single
 	// responses may be lost.
 	MaxIneffectiveResponses = 3
+	// ProbeStaleHeartbeats is the number of successive heartbeats that are older than the
+	// newest one received, after which the leader asks the agent itself whether it is the
+	// known one. It is above one, because single delayed copies are common.
+	ProbeStaleHeartbeats = 2
 	// MaxStaleHeartbeats is the number of successive heartbeats that are older than the
 	// newest one received, after which a machine whose lease has expired is replaced. It is
 	// above one, because a few delayed copies of heartbeats arrive after every partition.
