Keep a start record until the completions of its tasks are durable

Cause: the start record was deleted when the exit was reported, a second before the completion that replaces it was stored. And a stored completion was taken as proof that the task is on no machine.

Change: completedStarts removes an attempt that has completed its task from its start record only when the completion, or the end of the job, is durable. loadAttempt counts attempts of completed tasks until a task list or a release proves that they are gone.

--- a/internal/leader/completion.go
+++ b/internal/leader/completion.go
@@ -21,6 +21,7 @@
 		l.jobs.SetFinalState(j.ID, f)
 		l.admission.addUnfinishedTasks(j.Team, -j.Tasks)
 		j.MarkEndDurable()
+		l.completedStarts.removeDurable(j)
 		l.graph.QueueDependents(j.ID, f)
 		j.NotifyWaiters(true) // the end is durable
 		l.removeIfUnreferenced(j)
@@ -83,7 +84,10 @@
 func (l *Leader) flushCompletions(now time.Time) {
 	for _, j := range l.unqueuedCompletions.PopDue(now) {
 		for _, completions := range j.PopPendingCompletions(l.maxValueBytes()) {
-			l.writes.Background.Put(completions.Key, completions.Encode(), func() { j.MarkCompletionsDurable(completions) })
+			l.writes.Background.Put(completions.Key, completions.Encode(), func() {
+				j.MarkCompletionsDurable(completions)
+				l.completedStarts.removeDurable(j)
+			})
 		}
 	}
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -35,7 +35,9 @@
 	// Stored records: their loading and their writes.
 	writes   *records.WriteQueues
 	startLog *startlog.Log // durable records of the tasks to start, written before their starts are sent
-	loading  loadState
+	// completedStarts keeps the start records of completed tasks until the completions are durable.
+	completedStarts completedStarts
+	loading         loadState
 
 	// Jobs.
 	jobs                *jobs.Registry
@@ -96,6 +98,7 @@
 	l.graph = jobs.NewDependencyGraph(l.jobs, l.dependentJobDuration)
 	l.writes = records.NewWriteQueues(log, l.maxValueBytes())
 	l.startLog = startlog.New(term, l.maxValueBytes(), l.writes, startlog.Callbacks{OnDurable: l.allowStart, OnRefused: l.abandonStart})
+	l.completedStarts = newCompletedStarts(l.startLog)
 	l.scaler = l.newScaler()
 	l.drainer = l.newDrainer()
 	l.preemptor, l.consolidator = l.newPreemptor(), l.newConsolidator()
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -159,12 +159,10 @@
 	return nil
 }
 
-// loadAttempt adds an attempt for a task that may be on a machine, unless the task is completed.
+// loadAttempt adds an attempt for a task that may be on a machine. That includes completed tasks: a
+// task may have completed on one machine and still run on another one, where it uses resources until that
+// machine's task list proves otherwise.
 func (l *Leader) loadAttempt(now time.Time, record *startlog.Record, m *machines.Machine, j *jobs.Job, index int32) {
-	if j.IsCompleted(index) {
-		// The stored completion proves that the task has exited and will not be started again.
-		return
-	}
 	task := taskKey{j, index}
 	earlierAttempt := l.loading.newestAttempts[task]
 	a := machines.NewPossiblyStartedAttempt(m, j, index, now)
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -57,7 +57,7 @@
 	a.RecordProgress(now)
 	l.drainer.RecordInterruption(now, a)
 	lastOfTask := l.ledger.Release(now, a)
-	l.startLog.Remove(a)
+	l.completedStarts.remove(a)
 	if lastOfTask {
 		l.schedulingPassRequested = true
 		l.removeIfUnreferenced(a.Job)
