Check the lease again after a call to the cloud has waited for its turn

Change: Client.WaitForTurn is a step of its own, and term.waitForCloud checks the lease before and after it.

Evidence: without the second check TestCloudIsNotCalledIfTheLeaseEndsDuringTheWait fails with 1 call.

--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -47,25 +47,40 @@
 	return response.Types, err
 }
 
+// WaitForTurn waits until the rate limiter allows another request. It returns an error that wraps
+// ErrUnavailable if the context ends first.
+func (c *Client) WaitForTurn(ctx context.Context) error {
+	if err := c.rateLimiter.Wait(ctx); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return nil
+}
+
 // Provision requests machines and returns their names. A retry with the same RequestID provisions no
-// further machines.
+// further machines. The caller calls WaitForTurn first, so that it can check after the wait whether it
+// may still send the request.
 func (c *Client) Provision(ctx context.Context, r wire.ProvisionRequest) ([]string, error) {
 	var response wire.MachineNames
-	err := c.do(ctx, http.MethodPost, "/rentals", r, &response)
+	err := c.send(ctx, http.MethodPost, "/rentals", r, &response)
 	return response.Machines, err
 }
 
-// Release releases machines. If it returns nil, the machines and all tasks on them have stopped.
+// Release releases machines. If it returns nil, the machines and all tasks on them have stopped. The
+// caller calls WaitForTurn first, as for Provision.
 func (c *Client) Release(ctx context.Context, names []string) error {
-	return c.do(ctx, http.MethodPost, "/rentals/release", wire.MachineNames{Machines: names}, nil)
+	return c.send(ctx, http.MethodPost, "/rentals/release", wire.MachineNames{Machines: names}, nil)
 }
 
-// do sends one request as soon as the rate limiter allows it. It returns an error for every status
-// except 2xx.
+// do sends one request as soon as the rate limiter allows it.
 func (c *Client) do(ctx context.Context, method, uri string, body, out any) error {
-	if err := c.rateLimiter.Wait(ctx); err != nil {
-		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	if err := c.WaitForTurn(ctx); err != nil {
+		return err
 	}
+	return c.send(ctx, method, uri, body, out)
+}
+
+// send sends one request. It returns an error for every status except 2xx.
+func (c *Client) send(ctx context.Context, method, uri string, body, out any) error {
 	status, err := c.http.Do(ctx, tuning.CloudTimeout, method, uri, body, out)
 	if err != nil {
 		return err
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -21,7 +21,7 @@
 // leader.
 func (t *term) callCloud(ctx context.Context, call scaling.CloudCall) {
 	for ctx.Err() == nil {
-		if t.leadership.HoldsLease(time.Now()) {
+		if t.waitForCloud(ctx) {
 			machines, err := t.sendToCloud(ctx, call)
 			if err == nil {
 				t.recordCloudResult(call, machines)
@@ -35,6 +35,12 @@
 	}
 }
 
+// waitForCloud waits until the rate limit allows another call to the cloud. It reports whether this node
+// may send it: it held the lease before the wait, and still does.
+func (t *term) waitForCloud(ctx context.Context) bool {
+	return t.leadership.HoldsLease(time.Now()) && t.node.cloud.WaitForTurn(ctx) == nil && t.leadership.HoldsLease(time.Now())
+}
+
 // sendToCloud sends a call once and returns the machines that it provisioned. If an error proves
 // that a provision call was not executed, sendToCloud returns no machines and no error, so that the
 // call isn't retried.
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -52,6 +52,27 @@
 	}
 }
 
+// TestCloudIsNotCalledIfTheLeaseEndsDuringTheWait guards against calls of a former leader that waited for the
+// cloud's rate limit when its successor was elected.
+func TestCloudIsNotCalledIfTheLeaseEndsDuringTheWait(t *testing.T) {
+	var calls atomic.Int32
+	addr := loopback.Serve(t, func(*fasthttp.RequestCtx) { calls.Add(1) })
+	n := newTestNode()
+	n.becomeLeader(time.Now().Add(time.Hour))
+	n.cloud, n.log = cloud.NewClient(addr, config.CloudLimits{RPS: 2}), zerolog.Nop() // about a call in 0.6 s
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if err := n.cloud.WaitForTurn(ctx); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(50*time.Millisecond, n.leadership.Revoke)
+	call := &term{node: n, state: n.leader, leadership: n.leadership}
+	call.callCloud(ctx, scaling.CloudCall{Op: scaling.CloudRelease, Release: []string{"m1"}})
+	if got := calls.Load(); got != 0 {
+		t.Errorf("%d calls to the cloud after the lease has ended, want none", got)
+	}
+}
+
 // TestDirectOutcome checks that commands count as not delivered only if the call was not sent.
 func TestDirectOutcome(t *testing.T) {
 	for _, c := range []struct {
