--- a/internal/leader/capacity_test.go
+++ b/internal/leader/capacity_test.go
@@ -284,3 +284,36 @@
 	}
 	return tasks[:1]
 }
+
+// TestAgedJobGetsAMachineBesideOverrunningTasks guards against a job that waits for as long as other tasks
+// exceed their estimates, although machines can be provisioned.
+func TestAgedJobGetsAMachineBesideOverrunningTasks(t *testing.T) {
+	l := newLeader(t, 5, startTime, map[string]json.RawMessage{})
+	l.ApplyMachineList(l.now, l.now, nil)
+	long := newJob("job-1")
+	long.CPUs, long.MemoryGB = 8, 32
+	l.Submit(l.now, l.now, long, func(leader.JobResponse) {})
+	l.commit()
+	l.sendHeartbeat("m1", 1)
+	l.tickAfter(time.Second)
+	l.commit()
+	starts := l.sendHeartbeat("m1", 1)
+	if formatCommands(starts) != "run job-1/0" {
+		t.Fatalf("got %q, want a start of job-1/0", formatCommands(starts))
+	}
+	running := wire.TaskStatus{Task: starts[0].Task, Attempt: starts[0].Attempt, State: wire.TaskRunning}
+	for range 60 { // twice the estimate
+		l.tickAfter(time.Second)
+		l.sendHeartbeat("m1", 1, running)
+	}
+	l.submit("job-2")
+	for waited := time.Duration(0); waited < maxWaitBesideMachine; waited += time.Second {
+		l.tickAfter(time.Second)
+		l.commit()
+		l.sendHeartbeat("m1", 1, running)
+		if hasProvisionCall(l.PlanScaling(l.now)) {
+			return
+		}
+	}
+	t.Error("no machine was provisioned for job-2")
+}
