Refuse a job that names one whose cancellation is not stored yet

Change: such a submission gets 503, as one that names a job that is being accepted. Its user repeats it.

Evidence: TestJobThatNamesAJobBeingCancelled fails before the change and passes with it.

--- a/internal/leader/dependencies.go
+++ b/internal/leader/dependencies.go
@@ -13,8 +13,9 @@
 	"switchshore.example/switchshore/wire"
 )
 
-// checkDependencies returns an error if a dependency of the job was never accepted or its
-// acceptance is not durable yet.
+// checkDependencies returns an error if a dependency of the job was never accepted, or if its state
+// must be withheld because its acceptance or its cancellation is not durable yet. A job that were
+// accepted on top of such a cancellation could be reported as queued for too long.
 func (l *Leader) checkDependencies(spec *wire.Job) *RejectedError {
 	for _, id := range spec.DependsOn {
 		if _, ended := l.jobs.FinalState(id); ended {
@@ -23,8 +24,8 @@
 		switch j := l.jobs.Get(id); {
 		case j == nil:
 			return &RejectedError{Status: http.StatusUnprocessableEntity, Reason: fmt.Sprintf("awaits %.*s, which was never accepted", wire.MaxIDLength, id)}
-		case !j.AcceptanceDurable():
-			return &RejectedError{Status: http.StatusServiceUnavailable, Reason: "awaits " + id + ", which is being accepted"}
+		case j.MustWithholdState():
+			return &RejectedError{Status: http.StatusServiceUnavailable, Reason: "awaits " + id + ", which is being accepted or cancelled"}
 		}
 	}
 	return nil
--- a/internal/leader/dependencies_test.go
+++ b/internal/leader/dependencies_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -238,6 +239,25 @@
 	}
 }
 
+// TestJobThatNamesAJobBeingCancelled guards against a job that is reported as queued for longer than the time
+// for cancellations: the cancellation of its dependency, which depends on a cancelled job, is not durable yet.
+func TestJobThatNamesAJobBeingCancelled(t *testing.T) {
+	l := newLeader(t, 5, startTime, map[string]json.RawMessage{})
+	l.submitAll(newJob("job-0"), dependentJob("job-1", "job-0"))
+	l.Cancel(l.now, "job-0", func(leader.JobResponse) {})
+	l.commitBatch(7, 0)
+	l.tickAfter(time.Second) // cancels job-1, whose final state is queued
+	if v := l.submitWithoutCommit(dependentJob("job-2", "job-1")); v.Status != http.StatusServiceUnavailable {
+		t.Errorf("submission while the cancellation of job-1 is not durable: got %+v, want status 503", *v)
+	}
+	l.commit()
+	v := l.submitWithoutCommit(dependentJob("job-2", "job-1"))
+	l.commit()
+	if v.Status != http.StatusCreated || l.queryState("job-2") != wire.JobCancelled {
+		t.Errorf("submission after the cancellation of job-1: got %+v and state %s, want 201 and cancelled", *v, l.queryState("job-2"))
+	}
+}
+
 // TestCancelOfDoneJobKeepsDependents checks that the cancellation of a done job does not cancel its
 // dependents.
 func TestCancelOfDoneJobKeepsDependents(t *testing.T) {
