Simulation: recent direct calls reach the new agent of a restarted machine

The faults of a machine's connections also ended with its restart.

Change: half of the direct calls of the last 16 s reach the agent that replaces the one that they were sent to; half of the restarts meet the youngest agent; cut or deaf machines stay so over a restart.

--- a/internal/simulation/agent_calls.go
+++ b/internal/simulation/agent_calls.go
@@ -24,6 +24,9 @@
 	sim.fail(sim.Invariants.CheckCommands(sim.now, call.Request.Commands))
 	sim.trace(boundaryAgentCall, n, call.Machine, call.Addr, call.Request)
 	c := &agentCall{n, l, call, sim.fleet.agents[call.Machine], sim.now}
+	if c.agent != nil {
+		c.agent.recordCall(c)
+	}
 	switch {
 	case c.agent == nil:
 		c.reportOutcome(tuning.DirectCallTimeout, leader.DirectCallNotDelivered, nil)
@@ -42,7 +45,6 @@
 		return
 	}
 	sim.after(c.agent.timeUntilReachable()+sim.between(0, maxLateCallDelayMS), func() { c.deliverCopy(c.agent) })
-	sim.after(sim.between(0, maxCopyDelayToNewAgentMS), func() { c.deliverToNewAgent(c.agent) })
 	c.reportOutcome(tuning.DirectCallTimeout, leader.DirectCallUncertain, nil)
 }
 
@@ -57,9 +59,6 @@
 	heartbeat := c.deliver(a)
 	a.answered = true
 	sim.copies.answered(directCallRequest, c.node, func() { c.deliverCopy(a) })
-	if sim.copies.copiesArrive(directCallRequest) {
-		sim.after(sim.between(0, maxCopyDelayToNewAgentMS), func() { c.deliverToNewAgent(a) })
-	}
 	c.reportOutcome(sim.between(1, 100), leader.DirectCallReplied, heartbeat)
 }
 
@@ -67,11 +66,34 @@
 	// maxLateCallDelayMS is the maximum delay of an unanswered direct call to the agent that it was sent
 	// to, in milliseconds, after the agent can be reached again.
 	maxLateCallDelayMS = 60_000
-	// maxCopyDelayToNewAgentMS is the maximum delay of a direct call to an agent that has replaced the one
-	// that it was sent to, in milliseconds.
-	maxCopyDelayToNewAgentMS = 16_000
+	// maxCopyDelayToNewAgent is the maximum delay of a direct call to an agent that has replaced the one
+	// that it was sent to.
+	maxCopyDelayToNewAgent = 16 * time.Second
+	// copiedToNewAgentShare is the share of the recent direct calls to a machine that reach its new agent
+	// after a restart.
+	copiedToNewAgentShare = 0.5
 )
 
+// recordCall records a direct call to the agent, and drops those whose copies can't arrive any more.
+func (a *agentProcess) recordCall(c *agentCall) {
+	a.recentCalls = append(slices.DeleteFunc(a.recentCalls, (*agentCall).isTooOldForNewAgent), c)
+}
+
+// isTooOldForNewAgent reports whether the call can't reach a new agent any more.
+func (c *agentCall) isTooOldForNewAgent() bool {
+	return c.node.sim.now.Sub(c.sentAt) >= maxCopyDelayToNewAgent
+}
+
+// copyRecentCalls makes a share of the recent direct calls to an agent that has ended reach agents that
+// replace it. An agent is replaced only once the machine has restarted, so some of the copies are lost.
+func (a *agentProcess) copyRecentCalls() {
+	for _, c := range a.recentCalls {
+		if left := c.sentAt.Add(maxCopyDelayToNewAgent).Sub(a.sim.now); left > 0 && a.sim.chance(copiedToNewAgentShare) {
+			a.sim.after(a.sim.between(0, int(left.Milliseconds())), func() { c.deliverToNewAgent(a) })
+		}
+	}
+}
+
 // deliverCopy delivers the call late or once more, without a reply, to the agent that it was sent to.
 func (c *agentCall) deliverCopy(a *agentProcess) {
 	if c.node.sim.fleet.agents[c.call.Machine] == a {
--- a/internal/simulation/agent_process.go
+++ b/internal/simulation/agent_process.go
@@ -29,6 +29,7 @@
 	answered bool
 	// tasksBefore are the tasks that the machine had when its earlier agent ended, by name.
 	tasksBefore map[string]bool
+	recentCalls []*agentCall // direct calls to this agent and its predecessors that may be copied
 
 	partitionedUntil    time.Time // no message to or from it is delivered
 	responsesLostUntil  time.Time // its heartbeats arrive, responses and commands do not
@@ -91,17 +92,19 @@
 }
 
 // replace ends the agent and starts a new one on the same machine, which has only the images and results
-// of the earlier one. Some machines restart twice.
+// of the earlier one. Faults of the machine's connections go on. Some machines restart twice.
 func (a *agentProcess) replace() {
 	sim, machine := a.sim, a.sim.Cloud.machines[a.ID]
 	a.end()
+	a.copyRecentCalls()
 	sim.after(sim.between(50, 3000), func() {
 		if machine == nil || !sim.needsAgent(machine) {
 			return
 		}
 		successor := sim.startAgent(machine)
 		successor.CachedImages, successor.Completed = a.CachedImages, a.Completed
-		successor.tasksBefore = a.taskNames()
+		successor.tasksBefore, successor.recentCalls = a.taskNames(), a.recentCalls
+		successor.partitionedUntil, successor.responsesLostUntil, successor.heartbeatsLostUntil = a.partitionedUntil, a.responsesLostUntil, a.heartbeatsLostUntil
 		if sim.chance(replacedAgainShare) {
 			sim.after(sim.between(50, 8000), func() {
 				if !successor.ended {
--- a/internal/simulation/fault_injection.go
+++ b/internal/simulation/fault_injection.go
@@ -132,12 +132,30 @@
 	case SpotReclaimed:
 		f.reclaimSpotMachines()
 	case AgentReplaced:
+		if f.sim.chance(youngestReplacedShare) {
+			a = f.youngestAgent()
+		}
 		a.replace()
 	case MachineHeartbeatsLost:
 		a.heartbeatsLostUntil = now.Add(2 * span)
 	}
 }
 
+// youngestReplacedShare is the share of the restarts that meet the youngest agent. The message numbers of
+// its successor soon catch up with its own.
+const youngestReplacedShare = 0.5
+
+// youngestAgent returns the agent that has sent the fewest messages. There must be an agent.
+func (f *faultInjector) youngestAgent() *agentProcess {
+	var youngest *agentProcess
+	for _, id := range f.sim.agentNames() {
+		if a := f.sim.fleet.agents[id]; youngest == nil || a.Epoch == 1 && a.Sequence < youngest.Sequence {
+			youngest = a
+		}
+	}
+	return youngest
+}
+
 // reclaimNoticeS is the announced time until a spot machine is reclaimed, in seconds.
 const reclaimNoticeS = 5.0
 
--- a/internal/simulation/request_copies.go
+++ b/internal/simulation/request_copies.go
@@ -57,7 +57,7 @@
 		sim.Observed[copyObservations[kind]]++
 		execute()
 	}
-	if c.copiesArrive(kind) {
+	if sim.faultsAllowed() && sim.chance(copiedShare) || sim.affects(c.duplicated[kind]) {
 		sim.after(sim.between(100, maxCopyDelayMS), deliver)
 	}
 	if sim.affects(c.duplicated[kind]) {
@@ -66,11 +66,6 @@
 	}
 }
 
-// copiesArrive draws whether a copy of an answered request of the kind arrives.
-func (c *requestCopies) copiesArrive(kind requestKind) bool {
-	return c.sim.faultsAllowed() && c.sim.chance(copiedShare) || c.sim.affects(c.duplicated[kind])
-}
-
 // processEnded delivers copies of the node's earlier requests.
 func (c *requestCopies) processEnded(n *node) {
 	for _, deliver := range c.afterCrash[n] {
