Leader: types of their own for task lists, loading, failures and direct calls

Change: reconciliation applies one task list, recordLoading loads one record, failureTracker counts failures, directCalls decides which calls to make, and fencingTokens raises a machine's token.

--- a/internal/leader/direct_calls.go
+++ b/internal/leader/direct_calls.go
@@ -35,45 +35,52 @@
 	DirectCallUncertain
 )
 
-// directCalls holds the state of the direct calls to all machines.
+// directCalls holds the state of the direct calls to all machines, and decides which to make.
 type directCalls struct {
-	queue    []*machines.Machine // machines for which commands may be due
-	inFlight int                 // number of calls without an outcome yet
+	machines    *machines.Registry
+	timing      *machines.Timing
+	tokens      *fencingTokens
+	maxInFlight int                 // maximum number of calls in flight
+	queue       []*machines.Machine // machines for which commands may be due
+	inFlight    int                 // number of calls without an outcome yet
 }
 
 // NextDirectCalls returns the direct calls to be made now, so that commands need not wait for the
 // next heartbeat. It returns calls only to machines whose heartbeats arrive on time. A call
 // contains the stops that are due and the starts whose start record is durable.
-func (l *Leader) NextDirectCalls(now time.Time) []*DirectCall {
+func (l *Leader) NextDirectCalls(now time.Time) []*DirectCall { return l.directCalls.next(now) }
+
+// next implements Leader.NextDirectCalls.
+func (d *directCalls) next(now time.Time) []*DirectCall {
 	var calls []*DirectCall
 	handled := 0
-	for ; handled < len(l.directCalls.queue) && l.directCalls.inFlight < l.maxCallsInFlight(); handled++ {
-		m := l.directCalls.queue[handled]
+	for ; handled < len(d.queue) && d.inFlight < d.maxInFlight; handled++ {
+		m := d.queue[handled]
 		m.MarkCallDequeued()
-		if l.machines.Get(m.ID) != m {
+		if d.machines.Get(m.ID) != m {
 			continue
 		}
 		// If there is no call now, the commands are sent in the response to the machine's next heartbeat.
-		if call := l.nextCallTo(now, m); call != nil {
+		if call := d.nextCallTo(now, m); call != nil {
 			m.BeginCall()
-			l.directCalls.inFlight++
+			d.inFlight++
 			calls = append(calls, call)
 		}
 	}
-	l.directCalls.queue = l.directCalls.queue[handled:]
-	if len(l.directCalls.queue) == 0 {
-		l.directCalls.queue = nil
+	d.queue = d.queue[handled:]
+	if len(d.queue) == 0 {
+		d.queue = nil
 	}
 	return calls
 }
 
 // nextCallTo returns the call that is to be made to a machine now, or nil.
-func (l *Leader) nextCallTo(now time.Time, m *machines.Machine) *DirectCall {
+func (d *directCalls) nextCallTo(now time.Time, m *machines.Machine) *DirectCall {
 	switch {
 	case m.CanBeProbed(now):
-		return l.newProbe(m)
-	case m.CanBeCalled(now, &l.timing):
-		if call := l.newDirectCall(now, m); len(call.Request.Commands) > 0 {
+		return d.newProbe(m)
+	case m.CanBeCalled(now, d.timing):
+		if call := d.newDirectCall(now, m); len(call.Request.Commands) > 0 {
 			return call
 		}
 	}
@@ -82,28 +89,28 @@
 
 // newProbe returns a call without commands, whose fencing token is higher than that of all direct calls
 // with starts before.
-func (l *Leader) newProbe(m *machines.Machine) *DirectCall {
-	l.fenceDirectStarts(m) // fails only while no token is reserved; the present one voids those of earlier terms
-	call := l.newCallTo(m)
+func (d *directCalls) newProbe(m *machines.Machine) *DirectCall {
+	d.tokens.fenceDirectStarts(m) // fails only while no token is reserved; the present one voids those of earlier terms
+	call := d.newCallTo(m)
 	call.Request.AgentEpoch = m.ProbeEpoch()
 	return call
 }
 
 // newCallTo returns a call to a machine without commands.
-func (l *Leader) newCallTo(m *machines.Machine) *DirectCall {
+func (d *directCalls) newCallTo(m *machines.Machine) *DirectCall {
 	return &DirectCall{
 		Machine:      m.ID,
 		Addr:         m.Addr,
-		Request:      wire.CommandRequest{FencingToken: m.FencingToken(l.term), AgentEpoch: m.Epoch(), Commands: []wire.Command{}},
+		Request:      wire.CommandRequest{FencingToken: m.FencingToken(d.tokens.first), AgentEpoch: m.Epoch(), Commands: []wire.Command{}},
 		newestBefore: m.NewestPosition(),
 	}
 }
 
 // newDirectCall returns a call to a machine. It contains the machine's stops that no direct call has
 // contained yet, and its starts that were sent neither by a direct call nor in a response.
-func (l *Leader) newDirectCall(now time.Time, m *machines.Machine) *DirectCall {
-	call := l.newCallTo(m)
-	schedulable := m.IsSchedulable(now, &l.timing)
+func (d *directCalls) newDirectCall(now time.Time, m *machines.Machine) *DirectCall {
+	call := d.newCallTo(m)
+	schedulable := m.IsSchedulable(now, d.timing)
 	for _, a := range m.Attempts() {
 		if a.TryMarkDirectStopSent() {
 			call.Request.Commands = append(call.Request.Commands, a.StopCommand())
@@ -126,9 +133,6 @@
 	}
 }
 
-// maxCallsInFlight returns the maximum number of direct calls in flight of this process.
-func (l *Leader) maxCallsInFlight() int { return DirectCallLimit(l.params.Limits) }
-
 // DirectCallLimit returns the maximum number of direct calls in flight of a process with the given
 // limits: a share of the connection limit, or tuning.MaxDirectCalls if there is no such limit.
 func DirectCallLimit(limits config.ProcessLimits) int {
--- a/internal/leader/fencing.go
+++ b/internal/leader/fencing.go
@@ -38,10 +38,10 @@
 
 // fenceDirectStarts makes sure that the next response to a machine has a higher fencing token than all
 // earlier direct calls with starts. It returns false if that is impossible now.
-func (l *Leader) fenceDirectStarts(m *machines.Machine) bool {
-	if !m.FenceDirectStarts(l.fencingTokens.reserved - l.fencingTokens.first) {
+func (t *fencingTokens) fenceDirectStarts(m *machines.Machine) bool {
+	if !m.FenceDirectStarts(t.reserved - t.first) {
 		return false
 	}
-	l.fencingTokens.used = max(l.fencingTokens.used, m.FencingToken(l.term))
+	t.used = max(t.used, m.FencingToken(t.first))
 	return true
 }
--- a/internal/leader/heartbeat_commands.go
+++ b/internal/leader/heartbeat_commands.go
@@ -32,7 +32,7 @@
 		if !e.Forget || len(commands) >= tuning.MaxCommandsPerMessage {
 			continue
 		}
-		if !l.fenceDirectStarts(m) {
+		if !l.fencingTokens.fenceDirectStarts(m) {
 			return commands
 		}
 		commands = append(commands, wire.Command{Op: wire.OpForget, Task: e.Task, Attempt: e.Attempt})
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -52,6 +52,7 @@
 	catalogue         *machines.Catalogue         // machine types, including those no longer offered
 	ledger            *allocation.Ledger          // quotas of the teams, and the CPUs allocated to their attempts
 	directCalls       directCalls                 // commands sent to agents between their heartbeats
+	failures          failureTracker              // failures of tasks, counted against machines or jobs
 	verifier          agentVerifier               // tells the known agents from new ones on the same machines
 	machineLists      machineLists                // state of the cloud's machine lists
 	taskListNumber    uint64                      // number of task lists applied so far, and ID of the newest one
@@ -94,6 +95,8 @@
 		loading:             loadState{jobPieces: records.JobPieces{}, newestAttempts: map[taskKey]*machines.Attempt{}},
 		partitionDetector:   machines.NewPartitionDetector(),
 	}
+	l.directCalls = directCalls{machines: l.machines, timing: &l.timing, tokens: &l.fencingTokens, maxInFlight: DirectCallLimit(params.Limits)}
+	l.failures = failureTracker{log: log, machines: l.machines}
 	l.verifier = agentVerifier{log: log, calls: &l.directCalls}
 	l.graph = jobs.NewDependencyGraph(l.jobs, l.dependentJobDuration)
 	l.writes = records.NewWriteQueues(log, l.maxValueBytes())
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -38,7 +38,8 @@
 	if !ok {
 		return nil
 	}
-	err := l.loadRecordOfKind(now, wall, kind, id, item)
+	loading := &recordLoading{Leader: l, now: now, wall: wall}
+	err := loading.loadRecordOfKind(kind, id, item)
 	switch {
 	case err == nil:
 		return nil
@@ -49,70 +50,76 @@
 	return &records.CorruptError{Key: item.Key, Err: err}
 }
 
+// recordLoading loads one stored record. now and wall are the same instant, see LoadRecord.
+type recordLoading struct {
+	*Leader
+	now, wall time.Time
+}
+
 // loadRecordOfKind loads a record of the given kind. id is the part of the key that identifies the
 // record among those of its kind.
-func (l *Leader) loadRecordOfKind(now, wall time.Time, kind records.Kind, id string, item wire.KeyValue) error {
+func (r *recordLoading) loadRecordOfKind(kind records.Kind, id string, item wire.KeyValue) error {
 	switch kind {
 	case records.KindMachineTypes:
-		return l.loadMachineTypes(item.Value)
+		return r.loadMachineTypes(item.Value)
 	case records.KindJobPiece:
-		return l.loading.jobPieces.Add(item.Key, item.Value)
+		return r.loading.jobPieces.Add(item.Key, item.Value)
 	case records.KindJob:
-		return l.loadJob(now, wall, id, item.Value)
+		return r.loadJob(id, item.Value)
 	case records.KindCompletions:
-		return l.loadCompletions(id, item)
+		return r.loadCompletions(id, item)
 	case records.KindFinalState:
-		return l.loadFinalState(id, item.Value)
+		return r.loadFinalState(id, item.Value)
 	case records.KindMachineStarts: // written by earlier versions
 		starts, err := records.DecodeMachineStarts(id, item.Value)
 		if err != nil {
 			return err
 		}
-		return l.loadStarts(now, item.Key, starts)
+		return r.loadStarts(item.Key, starts)
 	case records.KindStarts:
 		starts, err := records.DecodeStarts(item.Value)
 		if err != nil {
 			return err
 		}
-		return l.loadStarts(now, item.Key, starts)
+		return r.loadStarts(item.Key, starts)
 	case records.KindDrain:
-		return l.drainer.LoadDrain(id, item.Value)
+		return r.drainer.LoadDrain(id, item.Value)
 	case records.KindCharge: // evictions of a drain, charged to the teams' budgets
-		return l.drainer.LoadCharge(now, wall, item.Key, item.Value)
+		return r.drainer.LoadCharge(r.now, r.wall, item.Key, item.Value)
 	}
 	return nil
 }
 
-func (l *Leader) loadMachineTypes(value json.RawMessage) error {
+func (r *recordLoading) loadMachineTypes(value json.RawMessage) error {
 	types, err := records.DecodeMachineTypes(value)
 	if err != nil {
 		return err
 	}
-	l.catalogue.SetStoredTypes(value) // loaded from the store, so no write is queued
-	l.SetMachineTypes(types)
+	r.catalogue.SetStoredTypes(value) // loaded from the store, so no write is queued
+	r.SetMachineTypes(types)
 	return nil
 }
 
 // loadJob loads a job's record. The pieces of the record must have been loaded before.
-func (l *Leader) loadJob(now, wall time.Time, id string, value json.RawMessage) error {
-	stored, err := records.DecodeJob(id, value, l.loading.jobPieces)
+func (r *recordLoading) loadJob(id string, value json.RawMessage) error {
+	stored, err := records.DecodeJob(id, value, r.loading.jobPieces)
 	if err != nil {
 		return err
 	}
-	sinceSubmission := max(0, wall.Sub(time.UnixMilli(stored.SubmittedAtMS)))
-	j := jobs.Restore(stored, now.Add(-sinceSubmission))
-	l.jobs.Add(j)
-	l.admission.addUnfinishedTasks(j.Team, j.Tasks)
+	sinceSubmission := max(0, r.wall.Sub(time.UnixMilli(stored.SubmittedAtMS)))
+	j := jobs.Restore(stored, r.now.Add(-sinceSubmission))
+	r.jobs.Add(j)
+	r.admission.addUnfinishedTasks(j.Team, j.Tasks)
 	return nil
 }
 
 // loadCompletions loads a record of completed tasks of a job.
-func (l *Leader) loadCompletions(id string, item wire.KeyValue) error {
-	j := l.jobs.Get(records.CompletionsJobID(id))
+func (r *recordLoading) loadCompletions(id string, item wire.KeyValue) error {
+	j := r.jobs.Get(records.CompletionsJobID(id))
 	if j == nil {
 		// A leader of an earlier version deleted the job's other records. It left this one, because
 		// it did not know this kind of record.
-		l.writes.Background.Delete(item.Key)
+		r.writes.Background.Delete(item.Key)
 		return nil
 	}
 	j.AddRecordKey(item.Key)
@@ -120,37 +127,37 @@
 }
 
 // loadFinalState loads the final state of a job. The job's other records may have been deleted.
-func (l *Leader) loadFinalState(id string, value json.RawMessage) error {
+func (r *recordLoading) loadFinalState(id string, value json.RawMessage) error {
 	f, err := records.DecodeFinalState(value)
 	if err != nil {
 		return err
 	}
-	l.jobs.SetFinalState(id, f)
-	j := l.jobs.Get(id)
+	r.jobs.SetFinalState(id, f)
+	j := r.jobs.Get(id)
 	if j == nil {
 		return nil
 	}
 	j.RestoreEnd(f)
-	l.admission.addUnfinishedTasks(j.Team, -j.Tasks)
+	r.admission.addUnfinishedTasks(j.Team, -j.Tasks)
 	return nil
 }
 
 // loadStarts loads a start record, which lists machines and the tasks that may be on each of them.
-func (l *Leader) loadStarts(now time.Time, key string, starts *records.Starts) error {
-	record := l.startLog.AddLoadedRecord(key)
+func (r *recordLoading) loadStarts(key string, starts *records.Starts) error {
+	record := r.startLog.AddLoadedRecord(key)
 	for _, machine := range starts.Machines {
-		m := l.machines.Get(machine.ID)
+		m := r.machines.Get(machine.ID)
 		if m == nil {
-			m = l.addMachine(now, machine.ID, machine.Type, machine.Zone, "", machine.Spot)
+			m = r.addMachine(r.now, machine.ID, machine.Type, machine.Zone, "", machine.Spot)
 		}
 		m.MarkInStartRecord() // the machine has joined under an earlier leader
 		for _, id := range slices.Sorted(maps.Keys(machine.Tasks)) {
-			j := l.jobs.Get(id)
+			j := r.jobs.Get(id)
 			if j == nil {
 				// The job has ended, and its records have been deleted.
 				continue
 			}
-			err := intervals.ParseEach(machine.Tasks[id], j.Tasks, func(i int) { l.loadAttempt(now, record, m, j, int32(i)) })
+			err := intervals.ParseEach(machine.Tasks[id], j.Tasks, func(i int) { r.loadAttempt(record, m, j, int32(i)) })
 			if err != nil {
 				return err
 			}
@@ -162,17 +169,17 @@
 // loadAttempt adds an attempt for a task that may be on a machine. That includes completed tasks: a
 // task may have completed on one machine and still run on another one, where it uses resources until that
 // machine's task list proves otherwise.
-func (l *Leader) loadAttempt(now time.Time, record *startlog.Record, m *machines.Machine, j *jobs.Job, index int32) {
+func (r *recordLoading) loadAttempt(record *startlog.Record, m *machines.Machine, j *jobs.Job, index int32) {
 	task := taskKey{j, index}
-	earlierAttempt := l.loading.newestAttempts[task]
-	a := machines.NewPossiblyStartedAttempt(m, j, index, now)
+	earlierAttempt := r.loading.newestAttempts[task]
+	a := machines.NewPossiblyStartedAttempt(m, j, index, r.now)
 	record.LinkAttempt(a)
-	l.ledger.Allocate(a) // counts its resources as allocated
-	l.loading.newestAttempts[task] = a
+	r.ledger.Allocate(a) // counts its resources as allocated
+	r.loading.newestAttempts[task] = a
 	if earlierAttempt != nil {
 		// Start records are loaded oldest first, and the start on m was decided only after the task had
 		// left the earlier machine.
-		l.releaseAttempt(now, earlierAttempt)
+		r.releaseAttempt(r.now, earlierAttempt)
 	}
 }
 
--- a/internal/leader/pass.go
+++ b/internal/leader/pass.go
@@ -20,7 +20,7 @@
 	if now.Sub(l.passTimes.lastExpiryCheck) >= tuning.TickInterval {
 		l.passTimes.lastExpiryCheck = now
 		l.expireLeases(now)
-		l.endExclusions(now)
+		l.failures.endExclusions(now)
 	}
 	if holdsLeaderLease && l.passIsDue(now) {
 		l.runPass(now)
