Let a job that has failed on several machines precede others once it has waited

What callers see (left_waiting, found by looking at what ends each exclusion): a job whose tasks failed on two machines waits for good beside free CPUs while wide jobs of a higher priority reserve the machines.

Cause: after 80 s without a start a job counts as aged and may use reserved machines, but a job that counts as faulty itself never did.

Change: it does. Its backoff, and the exclusion of the machines on which it has failed, allow it about one start a minute.

--- a/internal/leader/capacity_test.go
+++ b/internal/leader/capacity_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"switchshore.example/switchshore/internal/autoscale"
+	"switchshore.example/switchshore/internal/config"
 	"switchshore.example/switchshore/internal/consolidation"
 	"switchshore.example/switchshore/internal/jobs"
 	"switchshore.example/switchshore/internal/leader"
@@ -317,3 +318,56 @@
 	}
 	t.Error("no machine was provisioned for job-2")
 }
+
+// TestJobThatFailedEverywhereIsNotStarved guards against a job that waits for more than 90 s beside machines that
+// fit: its tasks have failed on two machines, for which wide jobs of a higher priority wait.
+func TestJobThatFailedEverywhereIsNotStarved(t *testing.T) {
+	original := testParams
+	t.Cleanup(func() { testParams = original })
+	testParams.Teams = []config.Team{{Name: "blue", CPUs: 8, CPUsMax: 64}}
+	l := newLeader(t, 5, startTime, map[string]json.RawMessage{})
+	tasks := map[string][]wire.TaskStatus{"m1": nil, "m2": nil}
+	// exchange exchanges a heartbeat with each machine, and returns the tasks that it starts.
+	exchange := func() (started []string) {
+		l.tickAfter(time.Second)
+		l.commit()
+		for _, m := range []string{"m1", "m2"} {
+			for _, c := range l.sendHeartbeat(m, 1, tasks[m]...) {
+				status := wire.TaskStatus{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning}
+				switch {
+				case c.Op == wire.OpForget:
+					tasks[m] = slices.DeleteFunc(tasks[m], func(s wire.TaskStatus) bool { return s.Task == c.Task })
+					continue
+				case c.Task == "job-1/0":
+					status.State, status.ExitReason = wire.TaskExited, wire.ExitError
+				}
+				started = append(started, c.Task)
+				tasks[m] = append(tasks[m], status)
+			}
+		}
+		return started
+	}
+	l.submit("job-1")
+	for failures := 0; failures < tuning.FaultyJobMachines && l.now.Before(startTime.Add(time.Minute)); {
+		failures += len(exchange())
+	}
+	running, wide, otherWide := newJob("job-2"), newJob("job-3"), newJob("job-4")
+	running.Tasks, running.CPUs, running.EstimateS = 2, 6, 1000
+	wide.CPUs, wide.Priority = 8, wire.PriorityCritical
+	otherWide.CPUs, otherWide.Priority = 8, wire.PriorityCritical
+	for _, j := range []*wire.Job{running, wide, otherWide} {
+		l.Submit(l.now, l.now, j, func(leader.JobResponse) {})
+		l.commit()
+		exchange()
+		exchange()
+	}
+	lastStart := l.now
+	for range 400 {
+		if slices.Contains(exchange(), "job-1/0") {
+			lastStart = l.now
+		}
+		if l.now.Sub(lastStart) > maxWaitBesideMachine {
+			t.Fatal("job-1 waits beside machines that fit")
+		}
+	}
+}
--- a/internal/leader/ready_jobs.go
+++ b/internal/leader/ready_jobs.go
@@ -13,13 +13,13 @@
 // it. A job is aged if at least tuning.AgingThreshold has passed since one of its tasks was last placed,
 // or since the job could first be placed. The placement handles the aged entries before all others. It
 // orders the others by priority, urgency and size, so a long backlog of smaller or more urgent jobs
-// could starve a large job. A job that is itself the cause of its tasks' failures (Job.IsFaulty) gets no
-// aged entry.
+// could starve a large job. A job whose tasks fail everywhere gets an aged entry, too: the failures may have
+// been those of the machines, and its backoff allows it one start a minute at most.
 func (l *Leader) withAgedEntries(now time.Time, ready []*placement.PendingJob, byID map[string]*jobs.Job) []*placement.PendingJob {
 	entries := ready
 	for _, r := range ready {
 		j := byID[r.JobID]
-		if j.PlacementWait(now) < tuning.AgingThreshold || j.IsFaulty() {
+		if j.PlacementWait(now) < tuning.AgingThreshold {
 			continue
 		}
 		aged := *r
