Release a machine with tasks when only a stale heartbeat postpones its lease's end

Cause: a stale heartbeat may come from a new agent, so the expiry of the known agent's lease is no proof until a lease after it. With one or two late copies of a dead machine's heartbeats its tasks waited up to a lease longer.

Change: such a machine is released when the known agent's lease has expired, which is the sooner proof. Machines without tasks are kept.

Measured: both new cases of TestShouldBeReleased; the first one fails before.

--- a/internal/machines/lease.go
+++ b/internal/machines/lease.go
@@ -49,6 +49,13 @@
 	return m.hasKnownLeaseExpired(now, t) && (m.lastStaleAt.IsZero() || now.Sub(m.lastStaleAt) > t.LeaseCertainlyExpiredAfter)
 }
 
+// isExpiryPostponed reports whether the lease of the known agent has expired for certain, but a stale
+// heartbeat may come from a new agent, which may still run tasks. The release of the machine is then the
+// sooner proof that they have ended.
+func (m *Machine) isExpiryPostponed(now time.Time, t *Timing) bool {
+	return m.reconciled && m.hasKnownLeaseExpired(now, t) && !m.HasLeaseExpired(now, t)
+}
+
 // hasKnownLeaseExpired reports whether the lease of the known agent has expired for certain.
 func (m *Machine) hasKnownLeaseExpired(now time.Time, t *Timing) bool {
 	return m.leaseRenewedAt.IsZero() || now.Sub(m.leaseRenewedAt) > t.LeaseCertainlyExpiredAfter
@@ -91,6 +98,7 @@
 //   - the cloud lists it as failed, or it has not booted in time
 //   - it has been unreachable for too long, or it is unreachable and missing from cloud lists
 //   - it doesn't get responses, or its latest heartbeats are all stale
+//   - it has attempts, and the known agent's lease has expired, but a new agent may be running
 //   - a new agent has replaced the earlier one
 //   - the time set by RequireRelease has passed
 //   - it has no attempts and is cordoned for one of ReleaseWhenEmptyReasons
@@ -116,6 +124,8 @@
 		// new agent that counts its epochs from the start again. The leader can't tell which, and
 		// must not take a new agent for the old one, so the machine is replaced.
 		return true
+	case len(m.attempts) > 0 && m.isExpiryPostponed(now, t):
+		return true
 	case len(m.attempts) == 0 && m.IsCordonedFor(ReleaseWhenEmptyReasons):
 		return true
 	}
--- a/internal/machines/machine_test.go
+++ b/internal/machines/machine_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"switchshore.example/switchshore/internal/jobs"
 	"switchshore.example/switchshore/internal/machines"
 	"switchshore.example/switchshore/internal/placement"
 	"switchshore.example/switchshore/internal/tuning"
@@ -219,13 +220,18 @@
 		"failed": {change: func(m *machines.Machine) {
 			m.ApplyCloudListing(termStart, termStart, &wire.ListedMachine{State: wire.MachineFailed})
 		}, want: true},
-		"agent replaced":          {change: func(m *machines.Machine) { m.Cordon(machines.CordonAgentReplaced) }, want: true},
-		"release required later":  {change: func(m *machines.Machine) { m.RequireRelease(termStart.Add(time.Second)) }},
-		"release required":        {change: func(m *machines.Machine) { m.RequireRelease(termStart.Add(-time.Second)) }, want: true},
-		"empty and drained":       {change: func(m *machines.Machine) { m.Cordon(machines.CordonDrained) }, want: true},
-		"not listed, reachable":   {change: listOnceThenMissTwice},
-		"not listed, unreachable": {change: listOnceThenMissTwice, after: 10 * time.Second, want: true},
-		"unreachable for long":    {change: func(*machines.Machine) {}, after: timing.LeaseCertainlyExpiredAfter + tuning.UnreachableReleaseDelay + 1, want: true},
+		"agent replaced":         {change: func(m *machines.Machine) { m.Cordon(machines.CordonAgentReplaced) }, want: true},
+		"release required later": {change: func(m *machines.Machine) { m.RequireRelease(termStart.Add(time.Second)) }},
+		"release required":       {change: func(m *machines.Machine) { m.RequireRelease(termStart.Add(-time.Second)) }, want: true},
+		"stale heartbeat, a task, expired": {change: func(m *machines.Machine) {
+			m.AddAttempt(machines.NewPossiblyStartedAttempt(m, jobs.New(wire.Job{ID: "job-0", Tasks: 1}, 0, termStart), 0, termStart))
+			m.RecordStaleHeartbeat(termStart.Add(timing.LeaseDuration))
+		}, after: timing.LeaseCertainlyExpiredAfter + 1, want: true},
+		"stale heartbeat, no task, expired": {change: func(m *machines.Machine) { m.RecordStaleHeartbeat(termStart.Add(timing.LeaseDuration)) }, after: timing.LeaseCertainlyExpiredAfter + 1},
+		"empty and drained":                 {change: func(m *machines.Machine) { m.Cordon(machines.CordonDrained) }, want: true},
+		"not listed, reachable":             {change: listOnceThenMissTwice},
+		"not listed, unreachable":           {change: listOnceThenMissTwice, after: 10 * time.Second, want: true},
+		"unreachable for long":              {change: func(*machines.Machine) {}, after: timing.LeaseCertainlyExpiredAfter + tuning.UnreachableReleaseDelay + 1, want: true},
 	} {
 		m := newReportingMachine(termStart)
 		c.change(m)
