--- a/internal/leader/capacity_test.go
+++ b/internal/leader/capacity_test.go
@@ -190,16 +190,10 @@
 // leaderAfterOneFailure returns a leader whose only machine m1 has completed two tasks of job-1, half a
 // second after the third one failed there.
 func leaderAfterOneFailure(t *testing.T) *testLeader {
-	l := newLeader(t, 5, startTime, map[string]json.RawMessage{})
-	l.ApplyMachineList(l.now, l.now, nil)
+	t.Helper()
 	spec := newJob("job-1")
 	spec.Tasks = 3
-	l.Submit(l.now, l.now, spec, func(leader.JobResponse) {})
-	l.commit()
-	l.sendHeartbeat("m1", 1)
-	l.tickAfter(time.Second)
-	l.commit()
-	starts := l.sendHeartbeat("m1", 1)
+	l, starts := leaderWithStarts(t, spec)
 	if formatCommands(starts) != "run job-1/0, run job-1/1, run job-1/2" {
 		t.Fatalf("got %q, want starts of all tasks", formatCommands(starts))
 	}
@@ -289,16 +283,9 @@
 // TestAgedJobGetsAMachineBesideOverrunningTasks guards against a job that waits for as long as other tasks
 // exceed their estimates, although machines can be provisioned.
 func TestAgedJobGetsAMachineBesideOverrunningTasks(t *testing.T) {
-	l := newLeader(t, 5, startTime, map[string]json.RawMessage{})
-	l.ApplyMachineList(l.now, l.now, nil)
 	long := newJob("job-1")
 	long.CPUs, long.MemoryGB = 8, 32
-	l.Submit(l.now, l.now, long, func(leader.JobResponse) {})
-	l.commit()
-	l.sendHeartbeat("m1", 1)
-	l.tickAfter(time.Second)
-	l.commit()
-	starts := l.sendHeartbeat("m1", 1)
+	l, starts := leaderWithStarts(t, long)
 	if formatCommands(starts) != "run job-1/0" {
 		t.Fatalf("got %q, want a start of job-1/0", formatCommands(starts))
 	}
--- a/internal/leader/completed_starts_test.go
+++ b/internal/leader/completed_starts_test.go
@@ -12,21 +12,15 @@
 
 // leaderAfterCompletion returns a leader whose machine m1 has just reported that job-1/0 is done. The job's
 // other task waits, as m1 has no room for both.
-func leaderAfterCompletion(t *testing.T) (l *testLeader, done wire.TaskStatus) {
+func leaderAfterCompletion(t *testing.T) (*testLeader, wire.TaskStatus) {
 	t.Helper()
-	l = newLeader(t, 5, startTime, map[string]json.RawMessage{})
 	spec := newJob("job-1")
 	spec.Tasks, spec.CPUs = 2, 8
-	l.Submit(l.now, l.now, spec, func(leader.JobResponse) {})
-	l.commit()
-	l.sendHeartbeat("m1", 1)
-	l.tickAfter(time.Second)
-	l.commit()
-	starts := l.sendHeartbeat("m1", 1)
+	l, starts := leaderWithStarts(t, spec)
 	if formatCommands(starts) != "run job-1/0" {
 		t.Fatalf("got %q, want a start of job-1/0", formatCommands(starts))
 	}
-	done = wire.TaskStatus{Task: starts[0].Task, Attempt: starts[0].Attempt, State: wire.TaskExited, ExitReason: wire.ExitDone}
+	done := wire.TaskStatus{Task: starts[0].Task, Attempt: starts[0].Attempt, State: wire.TaskExited, ExitReason: wire.ExitDone}
 	l.sendHeartbeat("m1", 1, done)
 	l.commit()
 	return l, done
--- a/internal/leader/helpers_test.go
+++ b/internal/leader/helpers_test.go
@@ -200,6 +200,20 @@
 	return l, task
 }
 
+// leaderWithStarts submits a job and returns the leader, which knows no machine but m1, and the starts that
+// m1 gets in the response to a heartbeat.
+func leaderWithStarts(t *testing.T, spec *wire.Job) (*testLeader, []wire.Command) {
+	t.Helper()
+	l := newLeader(t, 5, startTime, map[string]json.RawMessage{})
+	l.ApplyMachineList(l.now, l.now, nil)
+	l.Submit(l.now, l.now, spec, func(leader.JobResponse) {})
+	l.commit()
+	l.sendHeartbeat("m1", 1)
+	l.tickAfter(time.Second)
+	l.commit()
+	return l, l.sendHeartbeat("m1", 1)
+}
+
 // hasProvisionCall reports whether any of the calls to the cloud provisions machines.
 func hasProvisionCall(calls []scaling.CloudCall) bool {
 	return slices.ContainsFunc(calls, func(c scaling.CloudCall) bool { return c.Op == scaling.CloudProvision })
