Take no lease's end as proof for a task that a copy may have started again

Cause: the expiry of the known agent's lease was proof for every task whose direct call had been answered.

Earlier starts are freed by the expiry as before.

Evidence: the case "it is not heard" of TestTaskOfARestartedMachineStartsElsewhereAfterItsRelease fails before the change.

--- a/internal/leader/agent_verifier_test.go
+++ b/internal/leader/agent_verifier_test.go
@@ -46,7 +46,9 @@
 		copyBefore       bool // a copy of a direct call without the task reaches the new agent first
 		restarts         int
 		probed           bool // direct calls reach the new agent
+		unheard          bool // no heartbeat of the new agent arrives
 	}{
+		"it is not heard":                    {restarts: 1, unheard: true},
 		"its numbers catch up":               {restarts: 1},
 		"its numbers and its token catch up": {restarts: 1, copyBefore: true},
 		"its numbers are behind":             {restarts: 1, heartbeatsBefore: 100, probed: true},
@@ -69,7 +71,9 @@
 					agent.HandleCommandRequest(l.now, wire.CommandRequest{FencingToken: call.Request.FencingToken, AgentEpoch: 1})
 				}
 				agent.Advance(l.now)
-				tryHeartbeat(l, agent)
+				if !c.unheard {
+					tryHeartbeat(l, agent)
+				}
 				if c.probed {
 					executeDirectCalls(l, agent)
 				}
--- a/internal/leader/direct_calls.go
+++ b/internal/leader/direct_calls.go
@@ -119,7 +119,7 @@
 		if !schedulable || !a.NeedsStart() || a.DirectStartMayArrive() || a.ResponseStartMayTakeEffect() || len(call.startedAttempts) >= tuning.MaxCommandsPerMessage {
 			continue
 		}
-		a.MarkDirectStartSent()
+		a.MarkDirectStartSent(now)
 		call.startedAttempts = append(call.startedAttempts, a)
 		call.Request.Commands = append(call.Request.Commands, a.StartCommand())
 	}
--- a/internal/leader/leases.go
+++ b/internal/leader/leases.go
@@ -22,13 +22,13 @@
 }
 
 // releaseAttemptsAfterExpiry releases the attempts on a machine whose lease has expired. It keeps
-// attempts whose start was sent by a direct call and may still arrive. Such a start could be
-// executed by a new agent that has replaced the known one and counts its epochs from the start
-// again. If any attempt is kept, the machine is released, unless a heartbeat of a new session
+// attempts whose start was sent by a direct call and may still arrive, or of which a copy may have
+// arrived. Such a start could be executed by a new agent that has replaced the known one and counts its
+// epochs from the start again. If any attempt is kept, the machine is released, unless a heartbeat of a new session
 // arrives within tuning.NewEpochFencingDelay.
 func (l *Leader) releaseAttemptsAfterExpiry(now time.Time, m *machines.Machine) {
 	for i := len(m.Attempts()) - 1; i >= 0; i-- {
-		if a := m.Attempts()[i]; !a.MayBeginByLateStart() {
+		if a := m.Attempts()[i]; !a.MayBeginByLateStart() && !a.MayRunByCopy(now, &l.timing) {
 			l.releaseAttempt(now, a)
 		}
 	}
--- a/internal/machines/attempt.go
+++ b/internal/machines/attempt.go
@@ -47,6 +47,7 @@
 	// execute that start at any later time in the session. So the attempt keeps its resources. As
 	// the start may also be lost, it is sent again in responses to heartbeats.
 	directStartMayArrive bool
+	directStartAt        time.Time // when a direct call with the start was last made, or zero
 }
 
 // stopRequest records whether and how an attempt is to be stopped.
--- a/internal/machines/attempt_commands.go
+++ b/internal/machines/attempt_commands.go
@@ -1,6 +1,11 @@
 package machines
 
-import "switchshore.example/switchshore/wire"
+import (
+	"time"
+
+	"switchshore.example/switchshore/internal/tuning"
+	"switchshore.example/switchshore/wire"
+)
 
 // NeedsStart reports whether the start of the attempt has to be sent: its start record is
 // durable, it should run, and no task list has contained it yet.
@@ -25,8 +30,8 @@
 
 // MarkDirectStartSent records that a direct call with the start is made. The start may arrive late
 // until RuleOutDirectStart is called. A copy of it may arrive even later, see startFence.
-func (a *Attempt) MarkDirectStartSent() {
-	a.directStartMayArrive = true
+func (a *Attempt) MarkDirectStartSent(now time.Time) {
+	a.directStartMayArrive, a.directStartAt = true, now
 	a.Machine.needsRaise = true
 }
 
@@ -40,6 +45,13 @@
 // call arrives late. It is false once the machine has reported the attempt.
 func (a *Attempt) MayBeginByLateStart() bool { return a.state == StartSent && a.directStartMayArrive }
 
+// MayRunByCopy reports whether the attempt may be on its machine although the lease of the known agent has
+// expired: if the machine has restarted, a copy of the direct call that started the attempt may have started
+// it there once more, and the new agent's lease lasts longer.
+func (a *Attempt) MayRunByCopy(now time.Time, t *Timing) bool {
+	return !a.directStartAt.IsZero() && now.Sub(a.directStartAt) <= tuning.DirectCallCopyDelay+t.LeaseCertainlyExpiredAfter
+}
+
 // RequestStop requests that the attempt is stopped without a grace period.
 func (a *Attempt) RequestStop() { a.stopping, a.gracePeriodS = true, 0 }
 
--- a/internal/machines/delivery_test.go
+++ b/internal/machines/delivery_test.go
@@ -27,7 +27,7 @@
 	if c := a.StartCommand(); c.Op != wire.OpStart || c.Task != "job-1/1" || c.Attempt != 7 {
 		t.Errorf("command %+v, want the start of attempt 7 of job-1/1", c)
 	}
-	a.MarkDirectStartSent()
+	a.MarkDirectStartSent(termStart)
 	if !a.DirectStartMayArrive() || !a.MayBeginByLateStart() || !a.NeedsStart() {
 		t.Error("after a direct call: want a start that may arrive late and still has to be sent in a response")
 	}
@@ -188,7 +188,7 @@
 		t.Errorf("token %d without a direct call, want that of the term", m.FencingToken(term))
 	}
 	a := newRecordedAttempt(m)
-	a.MarkDirectStartSent()
+	a.MarkDirectStartSent(termStart)
 	m.BeginCall()
 	if m.FenceDirectStarts(maxRaises) || m.FencingToken(term) != term {
 		t.Error("token raised while a call is in progress that the agent would refuse, want it raised later")
@@ -200,7 +200,7 @@
 			t.Errorf("token %d after an answered direct call, want %d", m.FencingToken(term), term+1)
 		}
 	}
-	a.MarkDirectStartSent()
+	a.MarkDirectStartSent(termStart)
 	if m.FenceDirectStarts(maxRaises) {
 		t.Error("token raised beyond the reserved ones, want not")
 	}
--- a/internal/tuning/workers.go
+++ b/internal/tuning/workers.go
@@ -11,6 +11,9 @@
 	// got no reply. During this time the machine gets its commands in responses to
 	// heartbeats.
 	DirectCallBackoff = 10 * time.Second
+	// DirectCallCopyDelay is the longest time after a direct call at which a copy of it is
+	// expected at a machine that has restarted. Operators have seen 16 s.
+	DirectCallCopyDelay = 16 * time.Second
 	// DirectCallConnections bounds the connections to one agent. One is enough, because
 	// the calls to an agent are sequential.
 	DirectCallConnections = 1
